--- a/cmake/CassiakeelTargets.cmake
+++ b/cmake/CassiakeelTargets.cmake
@@ -20,6 +20,9 @@
 #
 # Adds the one test program of a library, <name>_test, and registers it.
 function(cassiakeel_test name)
+  if(NOT CASSIAKEEL_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
   set(target ${name}_test)
   add_executable(${target} ${ARG_SOURCES})
--- a/src/include/cassiakeel/admission/admission.h
+++ b/src/include/cassiakeel/admission/admission.h
@@ -29,6 +29,11 @@
   /// Highest number of queued calls of each length. A call displaces queued
   /// calls of less important classes when its queue is full.
   int queue_capacity = 256;
+  /// The limit grows to its ceiling over this time after a start.
+  std::chrono::nanoseconds ramp_time = std::chrono::seconds(10);
+  /// Move the limit with observed latency. False keeps it at the ceiling, for
+  /// servers whose service time includes calls to others.
+  bool adaptive = true;
 };
 
 /// What admission has to know of a call.
--- a/src/include/cassiakeel/admission/limit.h
+++ b/src/include/cassiakeel/admission/limit.h
@@ -29,6 +29,8 @@
   /// min(slots, max_in_flight of the policy).
   int ceiling = 1;
   SteadyTime cold_since;
+  std::chrono::nanoseconds ramp_time{0};
+  bool adaptive = true;
   SteadyTime window_start;
   int window_samples = 0;
   /// Highest number in flight in this window.
--- /dev/null
+++ b/src/include/cassiakeel/mesh/backend_watch.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "cassiakeel/h1/timer_queue.h"
+#include "cassiakeel/mesh/backend.h"
+
+namespace cassiakeel::mesh {
+
+/// Follows the backend server beside this node by its reports. Reports may come
+/// late and out of order, and a successor may use the same address or id.
+/// Runs on the control thread.
+class BackendWatch {
+ public:
+  using ChangeHandler = std::function<void(const LocalBackend&)>;
+
+  /// `silence` is the time without a report after which the server is taken as
+  /// gone.
+  static std::unique_ptr<BackendWatch> Create(
+      std::shared_ptr<h1::TimerQueue> timers,
+      std::chrono::milliseconds silence,
+      ChangeHandler on_change);
+
+  /// Takes a report; one that is older than what is known changes nothing.
+  void OnReport(const BackendReport& report);
+  /// The server says that it is gone or goes at once.
+  void OnDeparture(const InstanceId& instance);
+  const LocalBackend& current() const { return this->backend; }
+
+ private:
+  BackendWatch() = default;
+  bool IsNews(const BackendReport& report) const;
+  void Arm();
+
+  std::shared_ptr<h1::TimerQueue> timers;
+  std::chrono::milliseconds silence{0};
+  ChangeHandler on_change;
+  LocalBackend backend;
+  std::optional<h1::TimerQueue::Id> timer;
+};
+
+}  // namespace cassiakeel::mesh
--- /dev/null
+++ b/src/include/cassiakeel/mesh/call.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cassiakeel/admission/admission.h"
+#include "cassiakeel/base/error.h"
+#include "cassiakeel/base/outcome.h"
+#include "cassiakeel/h1/message.h"
+#include "cassiakeel/mesh/backend.h"
+
+namespace cassiakeel::mesh {
+
+/// Names of the header fields that callers and backend servers use. The
+/// deployment chooses them.
+struct FieldNames {
+  /// Id of one attempt of a client.
+  std::string attempt_id;
+  /// Milliseconds that the caller waits.
+  std::string timeout_ms;
+  /// Proof that a response is the backend server's own.
+  std::string signature;
+  /// Instance that alone may run the request.
+  std::string expected_instance;
+  /// Present on a response whose request did not run.
+  std::string not_run;
+  /// Service on the machine where the request began.
+  std::string caller_service;
+};
+
+/// What the node beside a backend server has to know of a call.
+struct CallInfo {
+  ServiceName service;
+  ServiceName caller;
+  std::string route;
+  int priority = 0;
+  bool idempotent = false;
+  std::chrono::milliseconds target_latency{1000};
+  /// Not the first arrival of this request at a backend server.
+  bool repeat = false;
+};
+
+/// A call at the node beside its backend server.
+struct ServeRequest {
+  CallInfo info;
+  h1::Request request;
+  SteadyTime deadline;
+};
+
+/// How a call ended there.
+struct ServeResult {
+  /// `kRan` with the server's response, `kNotRun` for a refusal, `kUnknown`
+  /// when the response was lost.
+  Outcome outcome = Outcome::kUnknown;
+  Reason reason = Reason::kNone;
+  /// The backend server received the request, also when it refused it.
+  bool reached_backend = false;
+  std::chrono::milliseconds retry_after{0};
+  h1::Response response;
+  admission::Load load;
+  std::chrono::nanoseconds service_time{0};
+};
+
+using ServeHandler = std::function<void(ServeResult)>;
+
+/// Writes and reads the fields of calls between nodes.
+inline constexpr const char* kCallField = "Ck-Call";
+inline constexpr const char* kResultField = "Ck-Result";
+
+std::string FormatCall(const CallInfo& info);
+Result<CallInfo> ParseCall(const std::string& text);
+
+/// All of a result but the response itself.
+std::string FormatResult(const ServeResult& result);
+Result<ServeResult> ParseResult(const std::string& text);
+
+}  // namespace cassiakeel::mesh
--- /dev/null
+++ b/src/include/cassiakeel/mesh/control.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cassiakeel/base/clock.h"
+#include "cassiakeel/h1/timer_queue.h"
+#include "cassiakeel/mesh/backend_watch.h"
+#include "cassiakeel/mesh/node.h"
+#include "cassiakeel/mesh/registrar.h"
+#include "cassiakeel/mesh/shared_store.h"
+#include "cassiakeel/mesh/table_follower.h"
+
+namespace cassiakeel::mesh {
+
+struct ControlSettings {
+  /// Row that holds the approved policy.
+  std::string policy_table;
+  std::string policy_key;
+  /// Table in which nodes tell of their backend servers.
+  std::string directory_table;
+  /// Usual time between reports of the backend server.
+  std::chrono::milliseconds report_interval{1000};
+};
+
+/// Reads a policy from the value of its row.
+using PolicyDecoder =
+    std::function<Result<std::shared_ptr<const TrafficPolicy>>(
+        const std::string& value)>;
+
+/// Control state of a node, on the control thread: follows the policy and the
+/// directory, watches the backend server of this machine, and hands snapshots
+/// to the traffic thread.
+class MeshControl {
+ public:
+  static std::unique_ptr<MeshControl> Create(
+      const MeshSettings& mesh,
+      const ControlSettings& settings,
+      SharedStore& store,
+      std::shared_ptr<h1::TimerQueue> timers,
+      const Clock& clock,
+      MeshNode& node,
+      PolicyDecoder decode_policy);
+  ~MeshControl();
+
+  void Start();
+  /// Takes a report of the backend server; `applied` runs once a leaving server
+  /// gets no new work, possibly on another thread.
+  void OnReport(const BackendReport& report, std::function<void()> applied);
+  void OnDeparture(const InstanceId& instance, std::function<void()> applied);
+
+ private:
+  class Impl;
+  explicit MeshControl(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace cassiakeel::mesh
--- a/src/libadmission/limit.cc
+++ b/src/libadmission/limit.cc
@@ -10,7 +10,6 @@
 using std::chrono::nanoseconds;
 
 constexpr double kColdShare = 0.25;
-constexpr nanoseconds kRampTime = std::chrono::seconds(10);
 constexpr nanoseconds kWindow = milliseconds(100);
 // From here on the samples that one kind needs are enough.
 constexpr nanoseconds kPatientWindow = milliseconds(300);
@@ -158,6 +157,8 @@
   state.ceiling = CeilingOf(config);
   state.limit = state.ceiling;
   state.cold_since = now;
+  state.ramp_time = config.ramp_time;
+  state.adaptive = config.adaptive;
   state.window_start = now;
   state.decreased_at = now;
   return state;
@@ -165,15 +166,18 @@
 
 void ReconfigureLimit(LimitState& state, const Config& config) {
   state.ceiling = CeilingOf(config);
-  state.limit = std::min(state.limit, static_cast<double>(state.ceiling));
+  state.adaptive = config.adaptive;
+  state.limit = state.adaptive ? std::min(state.limit,
+                                          static_cast<double>(state.ceiling))
+                               : state.ceiling;
 }
 
 int CurrentLimit(const LimitState& state, SteadyTime now) {
   double bound = std::min(state.limit, static_cast<double>(state.ceiling));
   const auto warm_for = now - state.cold_since;
-  if (warm_for < kRampTime) {
+  if (warm_for < state.ramp_time) {
     const double progress =
-        std::max(0.0, std::chrono::duration<double>(warm_for) / kRampTime);
+        std::max(0.0, std::chrono::duration<double>(warm_for) / state.ramp_time);
     bound = std::min(
         bound, state.ceiling * (kColdShare + (1 - kColdShare) * progress));
   }
@@ -212,9 +216,11 @@
   if (!enough && !state.server_refused && elapsed < kMaxWindow) {
     return;
   }
-  MoveLimit(state, LatencyRatio(state), now);
-  state.limit =
-      std::clamp(state.limit, 1.0, static_cast<double>(state.ceiling));
+  if (state.adaptive) {
+    MoveLimit(state, LatencyRatio(state), now);
+    state.limit =
+        std::clamp(state.limit, 1.0, static_cast<double>(state.ceiling));
+  }
   for (auto& [id, track] : state.tracks) {
     if (track.count >= kTrackSamples) {
       MoveBase(track);
--- /dev/null
+++ b/src/libh1/message.cc
@@ -0,0 +1,68 @@
+#include "cassiakeel/h1/message.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace cassiakeel::h1 {
+namespace {
+
+constexpr std::array<std::string_view, 9> kConnectionFields = {
+    "Connection",        "Keep-Alive",       "Proxy-Connection",
+    "Transfer-Encoding", "TE",               "Trailer",
+    "Upgrade",           "Content-Length",   "Expect"};
+
+std::vector<std::string> NamedFields(const HeaderList& headers) {
+  std::vector<std::string> names;
+  for (const auto& [name, value] : headers) {
+    if (!SameName(name, "Connection")) {
+      continue;
+    }
+    std::string token;
+    for (const char c : value + ",") {
+      if (c == ',') {
+        if (!token.empty()) {
+          names.push_back(std::move(token));
+        }
+        token.clear();
+      } else if (c != ' ' && c != '\t') {
+        token.push_back(c);
+      }
+    }
+  }
+  return names;
+}
+
+}  // namespace
+
+bool IsConnectionField(std::string_view name) {
+  return std::any_of(
+      kConnectionFields.begin(), kConnectionFields.end(),
+      [name](std::string_view field) { return SameName(field, name); });
+}
+
+void RemoveConnectionFields(HeaderList& headers) {
+  const auto named = NamedFields(headers);
+  std::erase_if(headers, [&named](const auto& field) {
+    return IsConnectionField(field.first) ||
+           std::any_of(named.begin(), named.end(), [&field](const auto& name) {
+             return SameName(name, field.first);
+           });
+  });
+}
+
+std::string_view ReasonPhrase(int status) {
+  switch (status) {
+#define CASSIAKEEL_STATUS_CASE(code, name, phrase) \
+  case code:                                       \
+    return #phrase;
+    HTTP_STATUS_MAP(CASSIAKEEL_STATUS_CASE)
+#undef CASSIAKEEL_STATUS_CASE
+    default:
+      return "Unknown";
+  }
+}
+
+}  // namespace cassiakeel::h1
--- /dev/null
+++ b/src/libh1/server.cc
@@ -0,0 +1,448 @@
+#include "cassiakeel/h1/server.h"
+
+#include <asio/ip/tcp.hpp>
+#include <optional>
+#include <set>
+
+#include "parser.h"
+#include "socket_io.h"
+
+namespace cassiakeel::h1 {
+namespace {
+
+using asio::ip::tcp;
+
+// Bytes of later requests that a peer may send ahead; more stay in the socket.
+constexpr std::size_t kMaxReadAhead = 64U << 10U;
+// Longest wait after a shortage of descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
+int StatusOf(pvt::ParseFault fault) {
+  switch (fault) {
+    case pvt::ParseFault::kHeaderTooLarge:
+      return 431;
+    case pvt::ParseFault::kBodyTooLarge:
+      return 413;
+    default:
+      return 400;
+  }
+}
+
+class Connection;
+
+// State that connections share with their server.
+struct Shared {
+  std::shared_ptr<TimerQueue> timers;
+  const ServerLimits& limits;
+  ExchangeHandler handler;
+  std::set<std::shared_ptr<Connection>> connections;
+  std::size_t in_progress = 0;
+  bool announce_close = false;
+  bool stopped = false;
+};
+
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(tcp::socket socket, std::shared_ptr<Shared> shared)
+      : socket(std::move(socket)),
+        shared(std::move(shared)),
+        parser(pvt::Parser::Kind::kRequest, this->shared->limits.message) {}
+
+  void Start() {
+    pvt::SetUpSocket(this->socket, this->shared->limits.stall_timeout);
+    this->SetTimeout(this->shared->limits.header_timeout);
+    this->Wait();
+  }
+
+  void Send(Response response, bool close) {
+    if (this->closed) {
+      return;
+    }
+    this->close_after = this->close_after || close || !this->keep_alive ||
+                        this->shared->announce_close;
+    this->Write(std::move(response));
+  }
+
+  bool busy() const { return this->active != nullptr || this->writing; }
+
+  void Close() {
+    if (this->closed) {
+      return;
+    }
+    this->closed = true;
+    this->CancelTimeout();
+    asio::error_code ignored;
+    this->socket.close(ignored);
+    this->EndExchange(true);
+    this->shared->connections.erase(this->shared_from_this());
+  }
+
+ private:
+  class ServedExchange;
+
+  void Wait() {
+    if (this->waiting || this->closed) {
+      return;
+    }
+    this->waiting = true;
+    this->socket.async_wait(
+        tcp::socket::wait_read,
+        [self = this->shared_from_this()](asio::error_code ec) {
+          self->waiting = false;
+          if (ec) {
+            self->Close();
+          } else {
+            self->OnReadable();
+          }
+        });
+  }
+
+  void OnReadable() {
+    if (this->closed) {
+      return;
+    }
+    asio::error_code error;
+    const auto bytes = pvt::ReadAvailable(this->socket, error);
+    if (error == asio::error::would_block) {
+      this->Wait();
+      return;
+    }
+    if (error) {
+      // A closed connection takes the interest in the response with it.
+      this->Close();
+      return;
+    }
+    if (this->busy()) {
+      this->ahead.append(bytes);
+      if (this->ahead.size() <= kMaxReadAhead) {
+        this->Wait();
+      }
+      return;
+    }
+    this->Consume(bytes);
+  }
+
+  void Consume(std::string_view bytes) {
+    const bool first = !this->parser.started();
+    std::size_t used = 0;
+    const auto state = this->parser.Feed(bytes, used);
+    if (state == pvt::ParseState::kFailed) {
+      this->Reject(StatusOf(this->parser.fault()));
+      return;
+    }
+    if (state == pvt::ParseState::kComplete) {
+      this->ahead.assign(bytes.substr(used));
+      this->Serve();
+      return;
+    }
+    if (this->parser.headers_complete()) {
+      this->SetTimeout(this->shared->limits.stall_timeout);
+      this->SendContinue();
+    } else if (first) {
+      this->SetTimeout(this->shared->limits.header_timeout);
+    }
+    this->Wait();
+  }
+
+  void SendContinue() {
+    if (this->continued || !this->parser.expects_continue()) {
+      return;
+    }
+    this->continued = true;
+    pvt::WriteAll(this->socket, "HTTP/1.1 100 Continue\r\n\r\n",
+                  this->shared_from_this(), [](asio::error_code) {});
+  }
+
+  void Serve();
+
+  void Reject(int status) {
+    this->keep_alive = false;
+    this->close_after = true;
+    this->Write({status, {}, {}});
+  }
+
+  void Write(Response response) {
+    std::string out;
+    out.reserve(256 + response.body.size());
+    out.append("HTTP/1.1 ")
+        .append(std::to_string(response.status))
+        .append(" ")
+        .append(ReasonPhrase(response.status))
+        .append("\r\n");
+    pvt::AppendFields(out, response.headers);
+    out.append("Content-Length: ")
+        .append(std::to_string(response.body.size()))
+        .append(this->close_after ? "\r\nConnection: close\r\n\r\n"
+                                  : "\r\n\r\n");
+    if (!this->head_request) {
+      out.append(response.body);
+    }
+    this->writing = true;
+    this->SetTimeout(this->shared->limits.stall_timeout);
+    this->EndExchange(false);
+    pvt::WriteAll(this->socket, std::move(out), this->shared_from_this(),
+                  [this](asio::error_code ec) { this->OnWritten(ec); });
+  }
+
+  void OnWritten(asio::error_code ec) {
+    this->writing = false;
+    if (ec || this->close_after || this->shared->stopped) {
+      this->CloseGently();
+      return;
+    }
+    this->parser.Reset();
+    this->continued = false;
+    this->SetTimeout(this->shared->limits.idle_timeout);
+    if (this->ahead.empty()) {
+      this->Wait();
+      return;
+    }
+    const std::string bytes = std::move(this->ahead);
+    this->ahead.clear();
+    this->Consume(bytes);
+  }
+
+  // Unread bytes at close make the kernel reset the connection, and the peer
+  // could lose the response; the sending side is shut first.
+  void CloseGently() {
+    asio::error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    pvt::ReadAvailable(this->socket, ignored);
+    this->Close();
+  }
+
+  void EndExchange(bool peer_closed);
+
+  void SetTimeout(std::chrono::milliseconds after) {
+    this->CancelTimeout();
+    this->timeout = this->shared->timers->Add(
+        this->shared->timers->Now() + after,
+        [weak = this->weak_from_this()] {
+          if (const auto self = weak.lock()) {
+            self->timeout.reset();
+            self->OnTimeout();
+          }
+        });
+  }
+
+  void CancelTimeout() {
+    if (this->timeout) {
+      this->shared->timers->Cancel(*this->timeout);
+      this->timeout.reset();
+    }
+  }
+
+  void OnTimeout() {
+    if (this->active) {
+      return;
+    }
+    if (!this->writing && this->parser.started()) {
+      this->Reject(408);
+      return;
+    }
+    this->Close();
+  }
+
+  tcp::socket socket;
+  std::shared_ptr<Shared> shared;
+  pvt::Parser parser;
+  std::string ahead;
+  std::shared_ptr<ServedExchange> active;
+  std::optional<TimerQueue::Id> timeout;
+  bool waiting = false;
+  bool writing = false;
+  bool closed = false;
+  bool keep_alive = true;
+  bool close_after = false;
+  bool head_request = false;
+  bool continued = false;
+};
+
+class Connection::ServedExchange : public Exchange {
+ public:
+  ServedExchange(std::shared_ptr<Connection> connection,
+                 Request request,
+                 SteadyTime received)
+      : connection(std::move(connection)),
+        content(std::move(request)),
+        received_at(received) {}
+
+  Request& request() override { return this->content; }
+  SteadyTime received() const override { return this->received_at; }
+
+  void Respond(Response response, bool close) override {
+    if (const auto target = std::exchange(this->connection, nullptr)) {
+      this->peer_closed = nullptr;
+      target->Send(std::move(response), close);
+    }
+  }
+
+  void OnPeerClosed(std::function<void()> callback) override {
+    this->peer_closed = std::move(callback);
+  }
+
+  void Detach(bool closed) {
+    this->connection.reset();
+    if (const auto callback = std::exchange(this->peer_closed, nullptr);
+        callback && closed) {
+      callback();
+    }
+  }
+
+ private:
+  std::shared_ptr<Connection> connection;
+  Request content;
+  SteadyTime received_at;
+  std::function<void()> peer_closed;
+};
+
+void Connection::Serve() {
+  this->keep_alive = this->parser.keep_alive();
+  this->head_request = this->parser.method == "HEAD";
+  this->CancelTimeout();
+  Request request{std::move(this->parser.method),
+                  std::move(this->parser.target),
+                  std::move(this->parser.headers), std::move(this->parser.body)};
+  this->active = std::make_shared<ServedExchange>(
+      this->shared_from_this(), std::move(request), this->shared->timers->Now());
+  ++this->shared->in_progress;
+  // Keeps watching for a peer that leaves.
+  this->Wait();
+  this->shared->handler(this->active);
+}
+
+void Connection::EndExchange(bool peer_closed) {
+  if (const auto exchange = std::exchange(this->active, nullptr)) {
+    --this->shared->in_progress;
+    exchange->Detach(peer_closed);
+  }
+}
+
+}  // namespace
+
+class Server::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& io_context, std::shared_ptr<Shared> shared)
+      : acceptor(io_context), shared(std::move(shared)) {}
+
+  Result<bool> Listen(const PeerAddress& address) {
+    const auto endpoint = pvt::ParseEndpoint(address);
+    if (!endpoint) {
+      return tl::unexpected(endpoint.error());
+    }
+    asio::error_code error;
+    this->acceptor.open(endpoint->protocol(), error);
+    if (!error) {
+      this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      this->acceptor.bind(*endpoint, error);
+    }
+    if (!error) {
+      this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (!error) {
+      this->acceptor.non_blocking(true, error);
+    }
+    if (error) {
+      return Fail("listen", error.message(), address);
+    }
+    this->Accept();
+    return true;
+  }
+
+  void Shutdown() {
+    this->shared->stopped = true;
+    asio::error_code ignored;
+    this->acceptor.close(ignored);
+    const auto all = this->shared->connections;
+    for (const auto& connection : all) {
+      if (!connection->busy()) {
+        connection->Close();
+      }
+    }
+  }
+
+  void CloseAll() {
+    this->Shutdown();
+    const auto all = this->shared->connections;
+    for (const auto& connection : all) {
+      connection->Close();
+    }
+  }
+
+  const std::shared_ptr<Shared>& state() const { return this->shared; }
+
+ private:
+  void Accept() {
+    this->acceptor.async_accept([weak = this->weak_from_this()](
+                                    asio::error_code ec, tcp::socket socket) {
+      const auto self = weak.lock();
+      if (!self || !self->acceptor.is_open()) {
+        return;
+      }
+      if (ec) {
+        // Most often too many descriptors; some connections end meanwhile.
+        self->shared->timers->Add(self->shared->timers->Now() + kAcceptPause,
+                                  [weak] {
+                                    const auto again = weak.lock();
+                                    if (again && again->acceptor.is_open()) {
+                                      again->Accept();
+                                    }
+                                  });
+        return;
+      }
+      self->Admit(std::move(socket));
+      self->Accept();
+    });
+  }
+
+  void Admit(tcp::socket socket) {
+    if (this->shared->connections.size() >=
+        this->shared->limits.max_connections) {
+      return;
+    }
+    auto connection =
+        std::make_shared<Connection>(std::move(socket), this->shared);
+    this->shared->connections.insert(connection);
+    connection->Start();
+  }
+
+  tcp::acceptor acceptor;
+  std::shared_ptr<Shared> shared;
+};
+
+Result<std::unique_ptr<Server>> Server::Create(
+    asio::io_context& io_context,
+    std::shared_ptr<TimerQueue> timers,
+    const PeerAddress& listen,
+    const ServerLimits& limits,
+    ExchangeHandler handler) {
+  auto shared = std::make_shared<Shared>(
+      Shared{std::move(timers), limits, std::move(handler), {}});
+  auto impl = std::make_shared<Impl>(io_context, std::move(shared));
+  if (const auto listening = impl->Listen(listen); !listening) {
+    return tl::unexpected(listening.error());
+  }
+  return std::unique_ptr<Server>(new Server(std::move(impl)));
+}
+
+Server::Server(std::shared_ptr<Impl> impl) : impl(std::move(impl)) {}
+
+Server::~Server() {
+  this->impl->CloseAll();
+}
+
+void Server::AnnounceClose() {
+  this->impl->state()->announce_close = true;
+}
+
+void Server::Shutdown() {
+  this->impl->Shutdown();
+}
+
+std::size_t Server::InProgress() const {
+  return this->impl->state()->in_progress;
+}
+
+}  // namespace cassiakeel::h1
--- /dev/null
+++ b/src/libh1/socket_io.cc
@@ -0,0 +1,93 @@
+#include "socket_io.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <charconv>
+
+namespace cassiakeel::h1::pvt {
+namespace {
+
+void SetOption(int fd, int level, int name, int value) {
+  // An option that the kernel refuses only delays the detection of a dead
+  // peer; the timeouts of requests still hold.
+  ::setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+std::string_view ReadAvailable(asio::ip::tcp::socket& socket,
+                               asio::error_code& error) {
+  thread_local std::array<char, kReadBytes> buffer;
+  const auto count = socket.read_some(asio::buffer(buffer), error);
+  return {buffer.data(), error ? 0 : count};
+}
+
+void SetUpSocket(asio::ip::tcp::socket& socket,
+                 std::chrono::milliseconds dead_after) {
+  asio::error_code ignored;
+  socket.non_blocking(true, ignored);
+  const int fd = socket.native_handle();
+  const int probe_s = std::max(1, static_cast<int>(dead_after.count() / 3000));
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, probe_s);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, probe_s);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, 2);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(dead_after.count()));
+}
+
+void WriteAll(asio::ip::tcp::socket& socket,
+              std::string bytes,
+              std::shared_ptr<void> keep_alive,
+              std::function<void(asio::error_code)> done) {
+  asio::error_code error;
+  const auto written = socket.write_some(asio::buffer(bytes), error);
+  if (error == asio::error::would_block) {
+    error.clear();
+  }
+  if (error || written == bytes.size()) {
+    done(error);
+    return;
+  }
+  auto rest = std::make_shared<std::string>(std::move(bytes));
+  asio::async_write(
+      socket, asio::buffer(rest->data() + written, rest->size() - written),
+      [rest, keep_alive = std::move(keep_alive), done = std::move(done)](
+          asio::error_code write_error, std::size_t) { done(write_error); });
+}
+
+void AppendFields(std::string& out, const HeaderList& headers) {
+  for (const auto& [name, value] : headers) {
+    if (IsConnectionField(name)) {
+      continue;
+    }
+    out.append(name).append(": ").append(value).append("\r\n");
+  }
+}
+
+Result<asio::ip::tcp::endpoint> ParseEndpoint(const PeerAddress& address) {
+  const auto& text = address.Value();
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return Fail("parse address", "expected IP:port", address);
+  }
+  asio::error_code error;
+  const auto ip = asio::ip::make_address(text.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const auto* first = text.data() + colon + 1;
+  const auto* last = text.data() + text.size();
+  const auto parsed = std::from_chars(first, last, port);
+  if (error || parsed.ec != std::errc() || parsed.ptr != last) {
+    return Fail("parse address", "expected IP:port", address);
+  }
+  return asio::ip::tcp::endpoint(ip, port);
+}
+
+}  // namespace cassiakeel::h1::pvt
--- /dev/null
+++ b/src/libmesh/call.cc
@@ -0,0 +1,135 @@
+#include "cassiakeel/mesh/call.h"
+
+#include <array>
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace cassiakeel::mesh {
+namespace {
+
+// Fields are separated by '|'; names of services and routes that contain it do
+// not occur, as a row or policy with such a name is refused.
+std::vector<std::string_view> Split(std::string_view text) {
+  std::vector<std::string_view> parts;
+  std::size_t start = 0;
+  while (true) {
+    const auto end = text.find('|', start);
+    parts.push_back(text.substr(start, end - start));
+    if (end == std::string_view::npos) {
+      return parts;
+    }
+    start = end + 1;
+  }
+}
+
+std::optional<std::int64_t> Number(std::string_view text) {
+  std::int64_t value = 0;
+  const auto* last = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), last, value);
+  if (parsed.ec != std::errc() || parsed.ptr != last) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+template <typename... Parts>
+std::string Join(const Parts&... parts) {
+  std::string out;
+  const auto add = [&out](const std::string& part) {
+    if (!out.empty()) {
+      out.push_back('|');
+    }
+    out.append(part);
+  };
+  (add(parts), ...);
+  return out;
+}
+
+template <std::size_t kCount>
+std::optional<std::array<std::int64_t, kCount>> Numbers(
+    const std::vector<std::string_view>& parts,
+    std::size_t first) {
+  if (parts.size() != first + kCount) {
+    return std::nullopt;
+  }
+  std::array<std::int64_t, kCount> out{};
+  for (std::size_t i = 0; i < kCount; ++i) {
+    const auto value = Number(parts[first + i]);
+    if (!value) {
+      return std::nullopt;
+    }
+    out[i] = *value;
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string FormatCall(const CallInfo& info) {
+  return Join(info.service.Value(), info.caller.Value(), info.route,
+              std::to_string(info.priority),
+              std::to_string(static_cast<int>(info.idempotent)),
+              std::to_string(info.target_latency.count()),
+              std::to_string(static_cast<int>(info.repeat)));
+}
+
+Result<CallInfo> ParseCall(const std::string& text) {
+  const auto parts = Split(text);
+  const auto numbers = Numbers<4>(parts, 3);
+  if (!numbers) {
+    return Fail("parse call", "malformed field " + text);
+  }
+  const auto& [priority, idempotent, target, repeat] = *numbers;
+  return CallInfo{ServiceName(std::string(parts[0])),
+                  ServiceName(std::string(parts[1])),
+                  std::string(parts[2]),
+                  static_cast<int>(priority),
+                  idempotent != 0,
+                  std::chrono::milliseconds(target),
+                  repeat != 0};
+}
+
+std::string FormatResult(const ServeResult& result) {
+  return Join(std::to_string(static_cast<int>(result.outcome)),
+              std::to_string(static_cast<int>(result.reason)),
+              std::to_string(static_cast<int>(result.reached_backend)),
+              std::to_string(result.retry_after.count()),
+              std::to_string(result.load.in_flight),
+              std::to_string(result.load.limit),
+              std::to_string(result.load.queued),
+              std::to_string(static_cast<int>(result.load.accepts)),
+              std::to_string(static_cast<int>(result.load.leaving)),
+              std::to_string(result.service_time.count() / 1000));
+}
+
+Result<ServeResult> ParseResult(const std::string& text) {
+  const auto numbers = Numbers<10>(Split(text), 0);
+  if (!numbers) {
+    return Fail("parse result", "malformed field " + text);
+  }
+  const auto& n = *numbers;
+  constexpr auto kLastOutcome = static_cast<std::int64_t>(Outcome::kUnknown);
+  constexpr auto kLastReason = static_cast<std::int64_t>(Reason::kServerRefused);
+  constexpr auto kLastClass =
+      static_cast<std::int64_t>(RequestClass::kBackground);
+  if (n[0] < 0 || n[0] > kLastOutcome || n[1] < 0 || n[1] > kLastReason ||
+      n[7] < 0 || n[7] > kLastClass) {
+    return Fail("parse result", "value out of range in " + text);
+  }
+  ServeResult result;
+  result.outcome = static_cast<Outcome>(n[0]);
+  result.reason = static_cast<Reason>(n[1]);
+  result.reached_backend = n[2] != 0;
+  result.retry_after = std::chrono::milliseconds(n[3]);
+  result.load.in_flight = static_cast<int>(n[4]);
+  result.load.limit = static_cast<int>(n[5]);
+  result.load.queued = static_cast<int>(n[6]);
+  result.load.accepts = static_cast<RequestClass>(n[7]);
+  result.load.leaving = n[8] != 0;
+  result.service_time = std::chrono::microseconds(n[9]);
+  return result;
+}
+
+}  // namespace cassiakeel::mesh
--- /dev/null
+++ b/src/libmesh/control.cc
@@ -0,0 +1,180 @@
+#include "cassiakeel/mesh/control.h"
+
+#include "decision_log.h"
+
+namespace cassiakeel::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A new policy is applied at once; a series of directory rows is gathered.
+constexpr milliseconds kPolicyPause{0};
+constexpr milliseconds kDirectoryPause{150};
+// Reports may come seconds late.
+constexpr int kMissedReports = 3;
+constexpr milliseconds kReportSlack{700};
+
+}  // namespace
+
+class MeshControl::Impl {
+ public:
+  Impl(const MeshSettings& mesh,
+       const ControlSettings& settings,
+       SharedStore& store,
+       std::shared_ptr<h1::TimerQueue> timers,
+       const Clock& clock,
+       MeshNode& node,
+       PolicyDecoder decode_policy)
+      : mesh(mesh),
+        settings(settings),
+        node(node),
+        decode_policy(std::move(decode_policy)),
+        log(clock) {
+    this->registrar = Registrar::Create(store, timers, settings.directory_table,
+                                        mesh.node);
+    this->watch = BackendWatch::Create(
+        timers, settings.report_interval * kMissedReports + kReportSlack,
+        [this](const LocalBackend& backend) { this->OnBackend(backend); });
+    this->policy_rows = TableFollower::Create(
+        store, timers, settings.policy_table, kPolicyPause,
+        [this](const RowMap& rows) { this->OnPolicyRows(rows); },
+        this->LinkLogger(settings.policy_table));
+    this->directory_rows = TableFollower::Create(
+        store, timers, settings.directory_table, kDirectoryPause,
+        [this](const RowMap& rows) { this->OnDirectoryRows(rows); },
+        this->LinkLogger(settings.directory_table));
+  }
+
+  void Start() {
+    this->policy_rows->Start();
+    this->directory_rows->Start();
+  }
+
+  void OnReport(const BackendReport& report, std::function<void()> applied) {
+    this->on_applied = std::move(applied);
+    this->watch->OnReport(report);
+    this->RunApplied();
+  }
+
+  void OnDeparture(const InstanceId& instance, std::function<void()> applied) {
+    this->on_applied = std::move(applied);
+    this->watch->OnDeparture(instance);
+    this->RunApplied();
+  }
+
+ private:
+  TableFollower::LinkHandler LinkLogger(const std::string& table) {
+    return [this, table](bool up, const std::string& cause) {
+      this->log.Write(up ? "store_regained" : "store_lost",
+                      pvt::Text("table", table) + "," +
+                          pvt::Text("cause", cause));
+    };
+  }
+
+  // Reports that change nothing are confirmed at once.
+  void RunApplied() {
+    if (const auto applied = std::exchange(this->on_applied, nullptr)) {
+      applied();
+    }
+  }
+
+  void OnBackend(const LocalBackend& backend) {
+    this->log.Write(
+        "backend",
+        pvt::Text("instance", backend.report.instance.Value()) + "," +
+            pvt::Num("present", static_cast<int>(backend.present)) + "," +
+            pvt::Num("leaving", static_cast<int>(backend.report.leaving)) +
+            "," + pvt::Num("slots", backend.report.slots.Value()));
+    this->node.SetBackend(backend, std::exchange(this->on_applied, nullptr));
+    DirectoryEntry entry;
+    entry.node = this->mesh.node;
+    entry.address = this->mesh.inbound;
+    entry.zone = this->mesh.zone;
+    entry.service = backend.report.service;
+    entry.instance = backend.report.instance;
+    entry.slots = backend.report.slots;
+    entry.leaving = backend.report.leaving || !backend.present;
+    this->registrar->Publish(entry);
+  }
+
+  void OnPolicyRows(const RowMap& rows) {
+    const auto found = rows.find(this->settings.policy_key);
+    if (found == rows.end()) {
+      return;
+    }
+    const auto policy = this->decode_policy(found->second.value);
+    if (!policy) {
+      this->log.Write("policy_refused",
+                      pvt::Text("cause", policy.error().ToString()));
+      return;
+    }
+    const auto version = (*policy)->version();
+    if (version <= this->policy_version) {
+      return;
+    }
+    this->log.Write(
+        "policy",
+        pvt::Num("version", static_cast<std::int64_t>(version.Value())) + "," +
+            pvt::Num("routes",
+                     static_cast<std::int64_t>((*policy)->routes().size())));
+    this->policy_version = version;
+    this->node.SetPolicy(*policy);
+  }
+
+  void OnDirectoryRows(const RowMap& rows) {
+    this->registrar->OnRows(rows);
+    auto directory = std::make_shared<const Directory>(DecodeDirectory(rows));
+    this->log.Write(
+        "directory",
+        pvt::Num("entries", static_cast<std::int64_t>(directory->size())) +
+            "," +
+            pvt::Num("version", static_cast<std::int64_t>(
+                                    this->directory_rows->version())));
+    this->node.SetDirectory(std::move(directory));
+  }
+
+  MeshSettings mesh;
+  ControlSettings settings;
+  MeshNode& node;
+  PolicyDecoder decode_policy;
+  pvt::DecisionLog log;
+  std::shared_ptr<Registrar> registrar;
+  std::unique_ptr<BackendWatch> watch;
+  std::shared_ptr<TableFollower> policy_rows;
+  std::shared_ptr<TableFollower> directory_rows;
+  PolicyVersion policy_version;
+  std::function<void()> on_applied;
+};
+
+std::unique_ptr<MeshControl> MeshControl::Create(
+    const MeshSettings& mesh,
+    const ControlSettings& settings,
+    SharedStore& store,
+    std::shared_ptr<h1::TimerQueue> timers,
+    const Clock& clock,
+    MeshNode& node,
+    PolicyDecoder decode_policy) {
+  return std::unique_ptr<MeshControl>(new MeshControl(std::make_unique<Impl>(
+      mesh, settings, store, std::move(timers), clock, node,
+      std::move(decode_policy))));
+}
+
+MeshControl::MeshControl(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
+
+MeshControl::~MeshControl() = default;
+
+void MeshControl::Start() {
+  this->impl->Start();
+}
+
+void MeshControl::OnReport(const BackendReport& report,
+                           std::function<void()> applied) {
+  this->impl->OnReport(report, std::move(applied));
+}
+
+void MeshControl::OnDeparture(const InstanceId& instance,
+                              std::function<void()> applied) {
+  this->impl->OnDeparture(instance, std::move(applied));
+}
+
+}  // namespace cassiakeel::mesh
--- /dev/null
+++ b/src/libmesh/dispatcher.cc
@@ -0,0 +1,511 @@
+#include "dispatcher.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <random>
+
+namespace cassiakeel::mesh::pvt {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+constexpr milliseconds kConnectTimeout{400};
+constexpr milliseconds kPeerIdle{20000};
+constexpr milliseconds kDeadPeerTimeout{1500};
+constexpr std::size_t kMaxKeptPerPeer = 48;
+// Time of a caller that names none.
+constexpr milliseconds kDefaultTimeout{15000};
+// After the deadline an answer may still be on its way from the other node.
+constexpr milliseconds kAnswerSlack{80};
+// Nodes to ask for one attempt before the refusal is passed on.
+constexpr int kMaxReroutes = 2;
+// A repeat with less of its time left hardly succeeds.
+constexpr double kLeastShareForRepeat = 0.2;
+// Round trips to nodes of the own and of other zones, weighed against waiting:
+// the latter includes what bytes between zones cost.
+constexpr milliseconds kOwnZoneDistance{1};
+constexpr milliseconds kOtherZoneDistance{25};
+
+std::optional<std::int64_t> ParseMs(const std::string* text) {
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  std::int64_t value = 0;
+  const auto* last = text->data() + text->size();
+  const auto parsed = std::from_chars(text->data(), last, value);
+  if (parsed.ec != std::errc() || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string Seconds(milliseconds time) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                static_cast<double>(time.count()) / 1000);
+  return text.data();
+}
+
+bool IsReroutable(Reason reason) {
+  return reason != Reason::kDeadline;
+}
+
+}  // namespace
+
+// One request from its arrival to its answer.
+class Dispatcher::Call : public std::enable_shared_from_this<Call> {
+ public:
+  Call(Dispatcher& owner,
+       std::shared_ptr<h1::Exchange> exchange,
+       std::shared_ptr<const TrafficPolicy> policy,
+       const Route& route,
+       std::optional<milliseconds> caller_timeout)
+      : owner(owner),
+        exchange(std::move(exchange)),
+        policy(std::move(policy)),
+        route(route),
+        received(this->exchange->received()),
+        caller_deadline(this->received +
+                        caller_timeout.value_or(kDefaultTimeout)),
+        deadline(this->caller_deadline) {
+    if (route.timeout.count() > 0) {
+      this->deadline =
+          std::min(this->deadline, this->received + route.timeout);
+    }
+    auto& headers = this->exchange->request().headers;
+    if (const auto* id =
+            h1::FindHeader(headers, owner.settings.fields.attempt_id)) {
+      this->attempt_id = *id;
+    }
+    h1::RemoveConnectionFields(headers);
+    const auto& fields = owner.settings.fields;
+    std::erase_if(headers, [&fields](const auto& field) {
+      return h1::SameName(field.first, fields.timeout_ms) ||
+             h1::SameName(field.first, fields.caller_service) ||
+             h1::SameName(field.first, fields.expected_instance) ||
+             h1::SameName(field.first, kCallField);
+    });
+  }
+
+  void Run() {
+    this->service = DrawService(this->route, this->owner.rng);
+    this->exchange->OnPeerClosed(
+        [self = this->shared_from_this()] { self->OnCallerGone(); });
+    this->timer = this->owner.timers->Add(
+        this->deadline + kAnswerSlack, [self = this->shared_from_this()] {
+          self->timer.reset();
+          self->OnDeadline();
+        });
+    this->Attempt();
+  }
+
+ private:
+  void Attempt() {
+    const auto now = this->owner.timers->Now();
+    auto& pool = this->owner.PoolOf(this->service);
+    const routing::SelectionRequest request{RequestClass::kCritical,
+                                            WorkLength::kShort, this->tried};
+    const auto selection =
+        routing::SelectEndpoint(pool, request, now, this->owner.rng);
+    if (!selection.endpoint) {
+      this->Refuse(selection.reason);
+      return;
+    }
+    const auto& endpoint = pool.endpoints[*selection.endpoint];
+    this->node = endpoint.node;
+    this->tried.push_back(this->node);
+    this->sent_at = now;
+    routing::OnDispatch(pool, this->node, now);
+    CallInfo info{this->service,
+                  this->owner.settings.service,
+                  this->route.name.Value(),
+                  this->route.priority,
+                  this->route.idempotent,
+                  this->route.target_latency,
+                  this->arrivals > 0};
+    if (this->node == this->owner.settings.node) {
+      this->SendLocally(std::move(info));
+    } else {
+      this->SendTo(endpoint.address, info);
+    }
+  }
+
+  void SendLocally(CallInfo info) {
+    ServeRequest serve{std::move(info), this->exchange->request(),
+                       this->deadline};
+    const auto number = ++this->sends;
+    const auto id = this->owner.gate.Submit(
+        std::move(serve),
+        [self = this->shared_from_this(), number](ServeResult result) {
+          self->OnResult(number, std::move(result));
+        });
+    if (this->sends == number && !this->done) {
+      this->local = id;
+    }
+  }
+
+  void SendTo(const PeerAddress& address, const CallInfo& info) {
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        this->deadline - this->owner.timers->Now());
+    h1::Fetch fetch;
+    fetch.peer = address;
+    fetch.request = this->exchange->request();
+    fetch.request.headers.emplace_back(kCallField, FormatCall(info));
+    fetch.request.headers.emplace_back(
+        this->owner.settings.fields.timeout_ms,
+        std::to_string(std::max<std::int64_t>(1, left.count())));
+    fetch.deadline = this->deadline + kAnswerSlack;
+    const auto number = ++this->sends;
+    this->remote = this->owner.client->Start(
+        std::move(fetch), [self = this->shared_from_this(),
+                           number](h1::FetchResult result) {
+          self->remote.reset();
+          self->OnResult(number, Decode(std::move(result)));
+        });
+  }
+
+  static ServeResult Decode(h1::FetchResult fetch) {
+    ServeResult result;
+    if (fetch.end == h1::FetchEnd::kNotSent) {
+      result.outcome = Outcome::kNotRun;
+      result.reason = Reason::kConnectFailed;
+      return result;
+    }
+    result.reached_backend = true;
+    result.reason = fetch.end == h1::FetchEnd::kTimeout
+                        ? Reason::kTimeout
+                        : Reason::kConnectionLost;
+    if (fetch.end != h1::FetchEnd::kComplete) {
+      return result;
+    }
+    const auto* text = h1::FindHeader(fetch.response.headers, kResultField);
+    const auto parsed = text == nullptr ? Fail("read result", "no result field")
+                                        : ParseResult(*text);
+    if (!parsed) {
+      return result;
+    }
+    result = *parsed;
+    result.response = std::move(fetch.response);
+    h1::RemoveConnectionFields(result.response.headers);
+    std::erase_if(result.response.headers, [](const auto& field) {
+      return h1::SameName(field.first, kResultField);
+    });
+    return result;
+  }
+
+  void OnResult(int number, ServeResult result) {
+    if (this->done || number != this->sends) {
+      return;
+    }
+    this->local.reset();
+    this->Observe(result);
+    if (result.outcome == Outcome::kRan) {
+      this->OnAnswered(std::move(result));
+    } else if (result.outcome == Outcome::kNotRun && !result.reached_backend) {
+      this->OnRefused(result);
+    } else {
+      this->OnFailed(result);
+    }
+  }
+
+  // Tells the selection what the attempt showed.
+  void Observe(const ServeResult& result) {
+    const auto now = this->owner.timers->Now();
+    auto& pool = this->owner.PoolOf(this->service);
+    if (result.reached_backend && this->arrivals++ == 0) {
+      this->owner.quota.NoteFirst(this->service, now);
+    }
+    const bool failed = result.reason == Reason::kConnectFailed ||
+                        result.reason == Reason::kConnectionLost ||
+                        result.reason == Reason::kTimeout;
+    if (failed) {
+      routing::OnFailure(pool, this->node, result.reason, now);
+      return;
+    }
+    routing::Answer answer;
+    answer.outcome = result.outcome;
+    answer.reason = result.reason;
+    answer.latency = now - this->sent_at;
+    answer.load = result.load;
+    routing::OnAnswer(pool, this->node, answer, now);
+  }
+
+  void OnAnswered(ServeResult result) {
+    const bool server_error = result.response.status >= 500;
+    if (server_error && this->MayRepeat()) {
+      this->fallback = std::move(result.response);
+      this->Attempt();
+      return;
+    }
+    ++this->owner.statistics.answered;
+    this->Answer(std::move(result.response));
+  }
+
+  // The node beside the backend server kept the request away from it.
+  void OnRefused(const ServeResult& result) {
+    const auto now = this->owner.timers->Now();
+    this->retry_after = std::max(this->retry_after, result.retry_after);
+    if (IsReroutable(result.reason) && this->reroutes < kMaxReroutes &&
+        now < this->deadline) {
+      ++this->reroutes;
+      ++this->owner.statistics.reroutes;
+      this->Attempt();
+      return;
+    }
+    this->Refuse(result.reason);
+  }
+
+  // The backend server refused the request, or nobody knows what it did.
+  void OnFailed(const ServeResult& result) {
+    if (result.outcome != Outcome::kNotRun) {
+      this->may_have_run = true;
+    }
+    if (this->MayRepeat()) {
+      this->Attempt();
+      return;
+    }
+    this->Refuse(result.reason);
+  }
+
+  // Whether the request may be handed to one more backend server.
+  bool MayRepeat() {
+    if (this->may_have_run && !this->route.idempotent) {
+      return false;
+    }
+    if (this->arrivals >= this->route.max_attempts) {
+      return false;
+    }
+    const auto now = this->owner.timers->Now();
+    const auto whole = this->deadline - this->received;
+    if (this->deadline - now <
+        std::chrono::duration_cast<nanoseconds>(whole * kLeastShareForRepeat)) {
+      return false;
+    }
+    if (!this->owner.quota.Take(this->service, now)) {
+      ++this->owner.statistics.repeats_denied;
+      return false;
+    }
+    ++this->owner.statistics.repeats;
+    return true;
+  }
+
+  void OnDeadline() {
+    if (this->done) {
+      return;
+    }
+    this->may_have_run = this->may_have_run || this->remote.has_value() ||
+                         this->local.has_value();
+    this->CancelAttempt();
+    this->Refuse(Reason::kTimeout);
+  }
+
+  void OnCallerGone() {
+    ++this->owner.statistics.caller_gone;
+    this->CancelAttempt();
+    this->End();
+  }
+
+  void CancelAttempt() {
+    if (this->remote) {
+      this->owner.client->Cancel(*this->remote);
+      this->remote.reset();
+      routing::OnFailure(this->owner.PoolOf(this->service), this->node,
+                         Reason::kCancelled, this->owner.timers->Now());
+    }
+    if (this->local) {
+      this->owner.gate.Withdraw(*this->local);
+      this->local.reset();
+      routing::OnFailure(this->owner.PoolOf(this->service), this->node,
+                         Reason::kCancelled, this->owner.timers->Now());
+    }
+  }
+
+  // Final answer without a response of a backend server, or with the failure
+  // that an earlier one gave.
+  void Refuse(Reason reason) {
+    Count(this->owner.statistics.failures, reason);
+    const auto now = this->owner.timers->Now();
+    this->owner.log.Request(
+        "request_failed",
+        Text("attempt", this->attempt_id) + "," +
+            Text("route", this->route.name.Value()) + "," +
+            Text("service", this->service.Value()) + "," +
+            Text("node", this->node.Value()) + "," +
+            Text("reason", ReasonName(reason)) + "," +
+            Num("ran", static_cast<int>(this->may_have_run)) + "," +
+            Num("reroutes", this->reroutes) + "," +
+            Num("arrivals", this->arrivals) + "," +
+            Num("age_ms", (now - this->received) / milliseconds(1)) + "," +
+            Num("policy", static_cast<std::int64_t>(
+                              this->policy->version().Value())));
+    if (this->fallback) {
+      this->Answer(std::move(*this->fallback));
+      return;
+    }
+    h1::Response response;
+    if (this->may_have_run) {
+      response.status = reason == Reason::kTimeout ? 504 : 502;
+    } else {
+      response.status = 503;
+      const auto left = std::chrono::duration_cast<milliseconds>(
+          this->caller_deadline - now);
+      const auto wait = std::clamp(this->retry_after, milliseconds(20),
+                                   std::max(milliseconds(20), left / 3));
+      response.headers.emplace_back("Retry-After", Seconds(wait));
+    }
+    this->Answer(std::move(response));
+  }
+
+  void Answer(h1::Response response) {
+    if (this->done) {
+      return;
+    }
+    this->owner.statistics.request_latency.Add(
+        std::chrono::duration<double>(this->owner.timers->Now() -
+                                      this->received)
+            .count());
+    if (!this->attempt_id.empty() &&
+        h1::FindHeader(response.headers,
+                       this->owner.settings.fields.attempt_id) == nullptr) {
+      response.headers.emplace_back(this->owner.settings.fields.attempt_id,
+                                    this->attempt_id);
+    }
+    const auto target = this->exchange;
+    this->End();
+    target->Respond(std::move(response));
+  }
+
+  void End() {
+    this->done = true;
+    if (this->timer) {
+      this->owner.timers->Cancel(*this->timer);
+      this->timer.reset();
+    }
+    this->exchange->OnPeerClosed(nullptr);
+  }
+
+  Dispatcher& owner;
+  std::shared_ptr<h1::Exchange> exchange;
+  /// Keeps `route` alive.
+  std::shared_ptr<const TrafficPolicy> policy;
+  const Route& route;
+  SteadyTime received;
+  SteadyTime caller_deadline;
+  SteadyTime deadline;
+  std::string attempt_id;
+  ServiceName service;
+  NodeId node;
+  std::vector<NodeId> tried;
+  SteadyTime sent_at;
+  std::optional<h1::TimerQueue::Id> timer;
+  std::optional<h1::FetchId> remote;
+  std::optional<ServeId> local;
+  /// Failure of a backend server, for when a repeat brings nothing better.
+  std::optional<h1::Response> fallback;
+  milliseconds retry_after{0};
+  int sends = 0;
+  int arrivals = 0;
+  int reroutes = 0;
+  bool may_have_run = false;
+  bool done = false;
+};
+
+std::unique_ptr<Dispatcher> Dispatcher::Create(
+    asio::io_context& io_context,
+    std::shared_ptr<h1::TimerQueue> timers,
+    const MeshSettings& settings,
+    BackendGate& gate,
+    DecisionLog& log,
+    Statistics& statistics) {
+  return std::unique_ptr<Dispatcher>(new Dispatcher(
+      io_context, std::move(timers), settings, gate, log, statistics));
+}
+
+Dispatcher::Dispatcher(asio::io_context& io_context,
+                       std::shared_ptr<h1::TimerQueue> timers,
+                       const MeshSettings& settings,
+                       BackendGate& gate,
+                       DecisionLog& log,
+                       Statistics& statistics)
+    : timers(std::move(timers)),
+      settings(settings),
+      gate(gate),
+      log(log),
+      statistics(statistics),
+      client(h1::Client::Create(io_context,
+                                this->timers,
+                                {kConnectTimeout, kPeerIdle, kDeadPeerTimeout,
+                                 kMaxKeptPerPeer, {}})),
+      rng(std::random_device()()) {
+  this->quota.SetBounds(settings.retry, 1);
+}
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::SetPolicy(std::shared_ptr<const TrafficPolicy> next) {
+  this->policy = std::move(next);
+}
+
+void Dispatcher::SetDirectory(std::shared_ptr<const Directory> next) {
+  this->directory = std::move(next);
+  this->quota.SetBounds(this->settings.retry, this->directory->size());
+  std::unordered_map<ServiceName, std::vector<routing::Endpoint>> by_service;
+  for (const auto& [node, entry] : *this->directory) {
+    by_service[entry.service].push_back(
+        {entry.node, entry.address, entry.zone, false, entry.leaving});
+  }
+  for (auto& [service, pool] : this->pools) {
+    if (!by_service.contains(service)) {
+      routing::UpdateEndpoints(pool, {});
+    }
+  }
+  for (auto& [service, endpoints] : by_service) {
+    routing::UpdateEndpoints(this->PoolOf(service), std::move(endpoints));
+  }
+}
+
+routing::Pool& Dispatcher::PoolOf(const ServiceName& service) {
+  const auto found = this->pools.find(service);
+  if (found != this->pools.end()) {
+    return found->second;
+  }
+  auto& pool = this->pools[service];
+  pool.self = this->settings.node;
+  pool.distance[this->settings.zone] = kOwnZoneDistance;
+  pool.unknown_distance = kOtherZoneDistance;
+  return pool;
+}
+
+void Dispatcher::Handle(std::shared_ptr<h1::Exchange> exchange) {
+  ++this->statistics.requests;
+  const auto& request = exchange->request();
+  if (!this->policy) {
+    Count(this->statistics.failures, Reason::kNoPolicy);
+    exchange->Respond({503, {{"Retry-After", "0.3"}}, {}});
+    return;
+  }
+  const auto* host = h1::FindHeader(request.headers, "Host");
+  if (host == nullptr || request.target.empty() || request.target[0] != '/') {
+    exchange->Respond({400, {}, {}}, true);
+    return;
+  }
+  const auto* route = this->policy->Find(*host, request.target);
+  if (route == nullptr) {
+    ++this->statistics.not_found;
+    exchange->Respond({404, {}, {}});
+    return;
+  }
+  const auto* timeout =
+      h1::FindHeader(request.headers, this->settings.fields.timeout_ms);
+  std::optional<milliseconds> caller_timeout;
+  if (const auto value = ParseMs(timeout)) {
+    caller_timeout = milliseconds(*value);
+  }
+  std::make_shared<Call>(*this, std::move(exchange), this->policy, *route,
+                         caller_timeout)
+      ->Run();
+}
+
+}  // namespace cassiakeel::mesh::pvt
--- /dev/null
+++ b/src/libmesh/dispatcher.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "backend_gate.h"
+#include "cassiakeel/base/random.h"
+#include "cassiakeel/h1/client.h"
+#include "cassiakeel/h1/server.h"
+#include "cassiakeel/mesh/settings.h"
+#include "cassiakeel/mesh/traffic_policy.h"
+#include "cassiakeel/routing/selection.h"
+#include "retry_quota.h"
+
+namespace cassiakeel::mesh::pvt {
+
+/// Takes requests where they begin: finds the route, chooses a backend server,
+/// hands the request to the node beside it, tries others as far as that is
+/// safe and within the quota, and answers the caller. Used on the traffic
+/// thread.
+class Dispatcher {
+ public:
+  static std::unique_ptr<Dispatcher> Create(
+      asio::io_context& io_context,
+      std::shared_ptr<h1::TimerQueue> timers,
+      const MeshSettings& settings,
+      BackendGate& gate,
+      DecisionLog& log,
+      Statistics& statistics);
+  ~Dispatcher();
+
+  void SetPolicy(std::shared_ptr<const TrafficPolicy> next);
+  void SetDirectory(std::shared_ptr<const Directory> next);
+  /// A request of a client or of the backend server beside this node.
+  void Handle(std::shared_ptr<h1::Exchange> exchange);
+  bool HasPolicy() const { return this->policy != nullptr; }
+
+ private:
+  class Call;
+  friend class Call;
+
+  Dispatcher(asio::io_context& io_context,
+             std::shared_ptr<h1::TimerQueue> timers,
+             const MeshSettings& settings,
+             BackendGate& gate,
+             DecisionLog& log,
+             Statistics& statistics);
+
+  routing::Pool& PoolOf(const ServiceName& service);
+  const DirectoryEntry* Find(const NodeId& node) const;
+
+  std::shared_ptr<h1::TimerQueue> timers;
+  const MeshSettings& settings;
+  BackendGate& gate;
+  DecisionLog& log;
+  Statistics& statistics;
+  std::unique_ptr<h1::Client> client;
+  std::shared_ptr<const TrafficPolicy> policy;
+  std::shared_ptr<const Directory> directory;
+  std::unordered_map<ServiceName, routing::Pool> pools;
+  RetryQuota quota;
+  Rng rng;
+};
+
+}  // namespace cassiakeel::mesh::pvt
--- /dev/null
+++ b/src/libmesh/node.cc
@@ -0,0 +1,296 @@
+#include "cassiakeel/mesh/node.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <charconv>
+#include <thread>
+
+#include "backend_gate.h"
+#include "cassiakeel/h1/server.h"
+#include "decision_log.h"
+#include "dispatcher.h"
+#include "metrics.h"
+
+namespace cassiakeel::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The deployment asks for readiness once a second and takes a node out after
+// two misses; clients that were told before still come until then.
+constexpr milliseconds kLeastLeavingTime{2600};
+// Part of the grace time that is left for the end of the process.
+constexpr milliseconds kExitReserve{700};
+constexpr milliseconds kStopPoll{50};
+
+std::optional<std::int64_t> ParseInteger(const std::string* text) {
+  std::int64_t value = 0;
+  if (text == nullptr ||
+      std::from_chars(text->data(), text->data() + text->size(), value).ec !=
+          std::errc()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace
+
+class MeshNode::Impl {
+ public:
+  Impl(const MeshSettings& settings, const Clock& clock)
+      : settings(settings),
+        clock(clock),
+        timers(h1::TimerQueue::Create(this->io_context, clock)),
+        log(clock),
+        gate(pvt::BackendGate::Create(this->io_context,
+                                      this->timers,
+                                      this->settings.fields,
+                                      this->log,
+                                      this->statistics)),
+        dispatcher(pvt::Dispatcher::Create(this->io_context,
+                                           this->timers,
+                                           this->settings,
+                                           *this->gate,
+                                           this->log,
+                                           this->statistics)),
+        work(asio::make_work_guard(this->io_context)) {}
+
+  ~Impl() {
+    this->io_context.stop();
+    this->Join();
+  }
+
+  Result<bool> Listen() {
+    auto outbound = h1::Server::Create(
+        this->io_context, this->timers, this->settings.outbound,
+        this->client_limits, [this](std::shared_ptr<h1::Exchange> exchange) {
+          this->dispatcher->Handle(std::move(exchange));
+        });
+    if (!outbound) {
+      return tl::unexpected(outbound.error());
+    }
+    this->outbound = std::move(*outbound);
+    auto inbound = h1::Server::Create(
+        this->io_context, this->timers, this->settings.inbound,
+        this->peer_limits, [this](std::shared_ptr<h1::Exchange> exchange) {
+          this->Serve(std::move(exchange));
+        });
+    if (!inbound) {
+      return tl::unexpected(inbound.error());
+    }
+    this->inbound = std::move(*inbound);
+    auto ready = h1::Server::Create(
+        this->io_context, this->timers, this->settings.ready,
+        this->peer_limits, [this](std::shared_ptr<h1::Exchange> exchange) {
+          this->AnswerReadiness(*exchange);
+        });
+    if (!ready) {
+      return tl::unexpected(ready.error());
+    }
+    this->ready = std::move(*ready);
+    return true;
+  }
+
+  void Start() {
+    this->thread = std::thread([this] { this->io_context.run(); });
+  }
+
+  void Join() {
+    if (this->thread.joinable()) {
+      this->thread.join();
+    }
+  }
+
+  template <typename Action>
+  void Post(Action action) {
+    asio::post(this->io_context, std::move(action));
+  }
+
+  void SetPolicy(std::shared_ptr<const TrafficPolicy> next) {
+    this->policy = next;
+    const auto& limits = next->limits();
+    this->client_limits.message = {limits.header_bytes, limits.body_bytes};
+    this->client_limits.header_timeout = limits.header_timeout;
+    this->client_limits.idle_timeout = limits.idle_timeout;
+    this->dispatcher->SetPolicy(std::move(next));
+  }
+
+  void SetDirectory(std::shared_ptr<const Directory> next) {
+    this->directory_size = next->size();
+    this->has_directory = true;
+    this->dispatcher->SetDirectory(std::move(next));
+  }
+
+  void BeginStop() {
+    if (this->stopping) {
+      return;
+    }
+    this->stopping = true;
+    this->stop_began = this->clock.Now();
+    this->outbound->AnnounceClose();
+    this->inbound->AnnounceClose();
+    this->PollStop();
+  }
+
+  std::string Metrics() const {
+    pvt::Gauges gauges;
+    gauges.policy_version =
+        this->policy ? this->policy->version().Value() : 0;
+    gauges.directory_size = this->directory_size;
+    gauges.calls_in_gate = this->gate->InFlight();
+    gauges.gate_limit = this->gate->LoadNow().limit;
+    gauges.log_lines_left_out = this->log.left_out();
+    return pvt::FormatMetrics(this->statistics, gauges);
+  }
+
+  pvt::BackendGate& gate_ref() { return *this->gate; }
+
+ private:
+  // A call from another node for the backend server of this machine.
+  void Serve(std::shared_ptr<h1::Exchange> exchange) {
+    auto& request = exchange->request();
+    const auto* text = h1::FindHeader(request.headers, kCallField);
+    const auto timeout = ParseInteger(
+        h1::FindHeader(request.headers, this->settings.fields.timeout_ms));
+    const auto info = text == nullptr ? Fail("read call", "no call field")
+                                      : ParseCall(*text);
+    if (!info || !timeout) {
+      exchange->Respond({400, {}, {}}, true);
+      return;
+    }
+    ServeRequest serve;
+    serve.info = *info;
+    serve.deadline = exchange->received() + milliseconds(*timeout);
+    serve.request = std::move(request);
+    h1::RemoveConnectionFields(serve.request.headers);
+    std::erase_if(serve.request.headers, [this](const auto& field) {
+      return h1::SameName(field.first, kCallField) ||
+             h1::SameName(field.first, this->settings.fields.timeout_ms);
+    });
+    const auto id = std::make_shared<std::optional<pvt::ServeId>>();
+    *id = this->gate->Submit(
+        std::move(serve), [this, exchange](ServeResult result) {
+          this->Reply(*exchange, std::move(result));
+        });
+    exchange->OnPeerClosed([this, id] {
+      if (*id) {
+        this->gate->Withdraw(**id);
+      }
+    });
+  }
+
+  void Reply(h1::Exchange& exchange, ServeResult result) {
+    result.load.leaving = result.load.leaving || this->stopping;
+    auto response = std::move(result.response);
+    if (result.outcome != Outcome::kRan) {
+      response = {result.outcome == Outcome::kNotRun ? 503 : 502, {}, {}};
+    }
+    response.headers.emplace_back(kResultField, FormatResult(result));
+    exchange.Respond(std::move(response));
+  }
+
+  void AnswerReadiness(h1::Exchange& exchange) {
+    if (exchange.request().target != this->settings.ready_path) {
+      exchange.Respond({404, {}, {}});
+      return;
+    }
+    const bool is_ready =
+        this->policy && this->has_directory && !this->stopping;
+    exchange.Respond({is_ready ? 200 : 503, {}, {}});
+  }
+
+  void PollStop() {
+    const auto passed = this->clock.Now() - this->stop_began;
+    const bool idle = this->outbound->InProgress() == 0 &&
+                      this->inbound->InProgress() == 0 &&
+                      this->gate->InFlight() == 0;
+    if ((idle && passed >= kLeastLeavingTime) ||
+        passed >= this->settings.grace - kExitReserve) {
+      this->outbound->Shutdown();
+      this->inbound->Shutdown();
+      this->ready->Shutdown();
+      this->work.reset();
+      this->io_context.stop();
+      return;
+    }
+    this->timers->Add(this->clock.Now() + kStopPoll,
+                      [this] { this->PollStop(); });
+  }
+
+  MeshSettings settings;
+  const Clock& clock;
+  asio::io_context io_context{1};
+  std::shared_ptr<h1::TimerQueue> timers;
+  pvt::DecisionLog log;
+  pvt::Statistics statistics;
+  h1::ServerLimits client_limits;
+  h1::ServerLimits peer_limits;
+  std::unique_ptr<pvt::BackendGate> gate;
+  std::unique_ptr<pvt::Dispatcher> dispatcher;
+  std::unique_ptr<h1::Server> outbound;
+  std::unique_ptr<h1::Server> inbound;
+  std::unique_ptr<h1::Server> ready;
+  std::shared_ptr<const TrafficPolicy> policy;
+  std::size_t directory_size = 0;
+  bool has_directory = false;
+  bool stopping = false;
+  SteadyTime stop_began;
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  std::thread thread;
+};
+
+Result<std::unique_ptr<MeshNode>> MeshNode::Create(const MeshSettings& settings,
+                                                   const Clock& clock) {
+  auto impl = std::make_unique<Impl>(settings, clock);
+  if (const auto listening = impl->Listen(); !listening) {
+    return tl::unexpected(listening.error());
+  }
+  return std::unique_ptr<MeshNode>(new MeshNode(std::move(impl)));
+}
+
+MeshNode::MeshNode(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
+
+MeshNode::~MeshNode() = default;
+
+void MeshNode::Start() {
+  this->impl->Start();
+}
+
+void MeshNode::SetPolicy(std::shared_ptr<const TrafficPolicy> policy) {
+  this->impl->Post([impl = this->impl.get(), policy = std::move(policy)] {
+    impl->SetPolicy(policy);
+  });
+}
+
+void MeshNode::SetDirectory(std::shared_ptr<const Directory> directory) {
+  this->impl->Post([impl = this->impl.get(), directory = std::move(directory)] {
+    impl->SetDirectory(directory);
+  });
+}
+
+void MeshNode::SetBackend(LocalBackend backend, std::function<void()> applied) {
+  this->impl->Post([impl = this->impl.get(), backend = std::move(backend),
+                    applied = std::move(applied)] {
+    impl->gate_ref().SetBackend(backend);
+    if (applied) {
+      applied();
+    }
+  });
+}
+
+void MeshNode::RequestStop() {
+  this->impl->Post([impl = this->impl.get()] { impl->BeginStop(); });
+}
+
+void MeshNode::Join() {
+  this->impl->Join();
+}
+
+void MeshNode::CollectMetrics(std::function<void(std::string text)> done) {
+  this->impl->Post([impl = this->impl.get(), done = std::move(done)] {
+    done(impl->Metrics());
+  });
+}
+
+}  // namespace cassiakeel::mesh
--- /dev/null
+++ b/src/libmesh/registrar.cc
@@ -0,0 +1,139 @@
+#include "cassiakeel/mesh/registrar.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace cassiakeel::mesh {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kFirstRetry{150};
+constexpr milliseconds kLongestRetry{1500};
+
+}  // namespace
+
+std::string EncodeEntry(const DirectoryEntry& entry) {
+  return json{{"address", entry.address.Value()},
+              {"zone", entry.zone.Value()},
+              {"service", entry.service.Value()},
+              {"instance", entry.instance.Value()},
+              {"slots", entry.slots.Value()},
+              {"leaving", entry.leaving}}
+      .dump();
+}
+
+Result<DirectoryEntry> DecodeEntry(const std::string& key,
+                                   const std::string& value) {
+  try {
+    const auto row = json::parse(value);
+    DirectoryEntry entry;
+    entry.node = NodeId(key);
+    entry.address = PeerAddress(row.at("address").get<std::string>());
+    entry.zone = ZoneName(row.at("zone").get<std::string>());
+    entry.service = ServiceName(row.at("service").get<std::string>());
+    entry.instance = InstanceId(row.at("instance").get<std::string>());
+    entry.slots = Slots(std::max(1, row.at("slots").get<int>()));
+    entry.leaving = row.at("leaving").get<bool>();
+    return entry;
+  } catch (const json::exception& error) {
+    return Fail("decode directory row " + key, error.what());
+  }
+}
+
+Directory DecodeDirectory(const RowMap& rows) {
+  Directory directory;
+  for (const auto& [key, row] : rows) {
+    if (const auto entry = DecodeEntry(key, row.value)) {
+      directory.emplace(entry->node, *entry);
+    }
+  }
+  return directory;
+}
+
+std::shared_ptr<Registrar> Registrar::Create(
+    SharedStore& store,
+    std::shared_ptr<h1::TimerQueue> timers,
+    std::string table,
+    NodeId node) {
+  std::shared_ptr<Registrar> registrar(new Registrar());
+  registrar->store = &store;
+  registrar->timers = std::move(timers);
+  registrar->table = std::move(table);
+  registrar->node = std::move(node);
+  return registrar;
+}
+
+void Registrar::Publish(std::optional<DirectoryEntry> entry) {
+  this->has_wish = true;
+  this->wanted.reset();
+  if (entry) {
+    this->wanted = EncodeEntry(*entry);
+  }
+  this->Reconcile();
+}
+
+void Registrar::OnRows(const RowMap& rows) {
+  this->known = true;
+  const auto found = rows.find(this->node.Value());
+  if (found == rows.end()) {
+    this->stored.reset();
+    this->stored_version = 0;
+  } else if (found->second.version >= this->stored_version) {
+    this->stored = found->second.value;
+    this->stored_version = found->second.version;
+  }
+  this->Reconcile();
+}
+
+void Registrar::Reconcile() {
+  if (!this->has_wish || !this->known || this->writing ||
+      this->retry_pending || this->wanted == this->stored) {
+    return;
+  }
+  this->writing = true;
+  this->store->Write(
+      this->table, this->node.Value(), this->wanted, this->stored_version,
+      [self = this->shared_from_this(), value = this->wanted](
+          const WriteReply& reply) {
+        self->writing = false;
+        if (reply.fault == StoreFault::kNone && reply.applied) {
+          self->stored = value;
+          self->stored_version = value ? reply.version : 0;
+        }
+        self->OnWritten(reply);
+      });
+}
+
+void Registrar::OnWritten(const WriteReply& reply) {
+  if (reply.fault != StoreFault::kNone) {
+    this->RetryLater();
+    return;
+  }
+  this->failures = 0;
+  if (!reply.applied) {
+    // An earlier write of this node took effect after all, or another process
+    // of this machine wrote before.
+    this->stored.reset();
+    this->stored_version = 0;
+    if (reply.current) {
+      this->stored = reply.current->value;
+      this->stored_version = reply.current->version;
+    }
+  }
+  this->Reconcile();
+}
+
+void Registrar::RetryLater() {
+  this->retry_pending = true;
+  const auto wait = std::min(kLongestRetry,
+                             kFirstRetry * (1 << std::min(this->failures++, 4)));
+  this->timers->Add(this->timers->Now() + wait,
+                    [self = this->shared_from_this()] {
+                      self->retry_pending = false;
+                      self->Reconcile();
+                    });
+}
+
+}  // namespace cassiakeel::mesh
--- /dev/null
+++ b/src/libmesh/statistics.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "cassiakeel/base/outcome.h"
+
+namespace cassiakeel::mesh::pvt {
+
+inline constexpr std::size_t kReasonCount =
+    static_cast<std::size_t>(Reason::kServerRefused) + 1;
+
+/// Latencies in seconds, with cumulative buckets on export.
+struct LatencyBuckets {
+  static constexpr std::array<double, 12> kBounds = {
+      0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12};
+  std::array<std::uint64_t, kBounds.size() + 1> counts{};
+  double sum = 0;
+
+  void Add(double seconds) {
+    std::size_t index = 0;
+    while (index < kBounds.size() && seconds > kBounds[index]) {
+      ++index;
+    }
+    ++this->counts[index];
+    this->sum += seconds;
+  }
+};
+
+/// Counts since the start of the process. Written on the traffic thread only.
+struct Statistics {
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t not_found = 0;
+  std::uint64_t repeats = 0;
+  std::uint64_t repeats_denied = 0;
+  std::uint64_t reroutes = 0;
+  std::uint64_t caller_gone = 0;
+  std::uint64_t served = 0;
+  /// Refusals of the gate and failures of calls, by reason.
+  std::array<std::uint64_t, kReasonCount> gate_refusals{};
+  std::array<std::uint64_t, kReasonCount> failures{};
+  LatencyBuckets request_latency;
+  LatencyBuckets service_time;
+};
+
+inline void Count(std::array<std::uint64_t, kReasonCount>& counts,
+                  Reason reason) {
+  ++counts[static_cast<std::size_t>(reason)];
+}
+
+}  // namespace cassiakeel::mesh::pvt
