--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -233,6 +233,7 @@
   }
 
   void OnAnswered(ServeResult result) {
+    this->may_have_run = true;
     const bool server_error = result.response.status >= 500;
     if (server_error && this->MayRepeat()) {
       this->fallback = std::move(result.response);
