Shed whole request trees by the client's priority

Change: a call takes priority and rank of the request that caused it, found by the deadline they share; results carry the highest shed level of the tree, and requests below it are refused where they begin. Late in a stop a request gets no more time than the node has left.

--- a/src/include/cassiakeel/mesh/call.h
+++ b/src/include/cassiakeel/mesh/call.h
@@ -35,7 +35,11 @@
   ServiceName service;
   ServiceName caller;
   std::string route;
+  /// Rank of the request that a client sent, also for the calls that it causes.
   int priority = 0;
+  /// Place of the whole request tree within its rank, in [0, 1); lower is shed
+  /// first. All nodes shed the same trees, so that what is admitted finishes.
+  double tree_rank = 0;
   bool idempotent = false;
   std::chrono::milliseconds target_latency{1000};
   /// Not the first arrival of this request at a backend server.
@@ -60,9 +64,15 @@
   std::chrono::milliseconds retry_after{0};
   h1::Response response;
   admission::Load load;
+  /// Highest shed level that the call met, here and at the calls that it
+  /// caused; work below this position does not finish (see ShedPosition).
+  double shed_level = 0;
   std::chrono::nanoseconds service_time{0};
 };
 
+/// Class of a route's rank, 0 for the most important.
+RequestClass ClassOfPriority(int priority);
+
 using ServeHandler = std::function<void(ServeResult)>;
 
 /// Writes and reads the fields of calls between nodes.
--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -26,12 +26,9 @@
 constexpr milliseconds kLeastTime{2};
 // Share of the target latency that a call may wait in the queue.
 constexpr double kWaitShare = 0.5;
-
-RequestClass ClassOf(int priority) {
-  const auto last = static_cast<int>(kRequestClassCount) - 1;
-  return kAllRequestClasses[static_cast<std::size_t>(
-      std::clamp(priority, 0, last))];
-}
+// Differences between the deadline of a run and of its calls: the way to the
+// server and back, and rounding to milliseconds.
+constexpr milliseconds kDeadlineMatch{4};
 
 }  // namespace
 
@@ -39,6 +36,9 @@
   ServeRequest request;
   ServeHandler handler;
   std::optional<h1::FetchId> fetch;
+  /// As the backend server was told; set while running.
+  SteadyTime told_deadline;
+  double child_shed_level = 0;
 };
 
 std::unique_ptr<BackendGate> BackendGate::Create(
@@ -136,16 +136,16 @@
   const auto now = this->timers->Now();
   admission::Work work;
   work.ticket = admission::TicketId(id);
-  const auto* attempt =
-      h1::FindHeader(request.request.headers, this->fields.attempt_id);
-  work.shed_rank = StableUnit(attempt == nullptr ? "" : *attempt);
-  work.request_class = ClassOf(request.info.priority);
+  work.shed_rank = request.info.tree_rank;
+  work.request_class = ClassOfPriority(request.info.priority);
   work.kind = StableHash(request.info.route);
   work.deadline = request.deadline;
   work.max_wait = milliseconds(static_cast<milliseconds::rep>(
       static_cast<double>(request.info.target_latency.count()) * kWaitShare));
-  this->calls.emplace(id, std::make_unique<Call>(
-                              Call{std::move(request), std::move(handler), {}}));
+  auto call = std::make_unique<Call>();
+  call->request = std::move(request);
+  call->handler = std::move(handler);
+  this->calls.emplace(id, std::move(call));
   const auto decision = admission::Offer(this->admission, work, now);
   if (decision.verdict != admission::Verdict::kQueue) {
     this->Apply({decision});
@@ -167,7 +167,7 @@
   if (call.fetch) {
     this->client->Cancel(*call.fetch);
   }
-  this->calls.erase(found);
+  this->Extract(id);
   this->Apply(admission::Cancel(this->admission, admission::TicketId(id),
                                 this->timers->Now()));
 }
@@ -191,8 +191,11 @@
 void BackendGate::Start(ServeId id) {
   auto& call = *this->calls.at(id);
   const auto now = this->timers->Now();
-  const auto left = std::chrono::duration_cast<milliseconds>(
-      call.request.deadline - now);
+  const auto left =
+      std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(
+                                    call.request.deadline - now));
+  call.told_deadline = now + left;
+  this->by_deadline.emplace(call.told_deadline, id);
   h1::Fetch fetch;
   fetch.peer = this->backend.report.address;
   fetch.request = std::move(call.request.request);
@@ -204,7 +207,7 @@
     fetch.echo_value = *attempt;
   }
   headers.emplace_back(this->fields.timeout_ms,
-                       std::to_string(std::max<std::int64_t>(1, left.count())));
+                       std::to_string(left.count()));
   headers.emplace_back(this->fields.expected_instance,
                        this->backend.report.instance.Value());
   headers.emplace_back(this->fields.caller_service,
@@ -241,6 +244,8 @@
   const auto decisions = admission::Finish(
       this->admission, admission::TicketId(id), completion, now);
   result.load = admission::LoadOf(this->admission, now);
+  result.shed_level = std::max(this->admission.shed.level,
+                               found->second->child_shed_level);
   this->Finish(id, std::move(result));
   this->Apply(decisions);
 }
@@ -304,11 +309,48 @@
                         "," + Text("cause", fetch.message));
 }
 
-void BackendGate::Finish(ServeId id, ServeResult result) {
+std::unique_ptr<BackendGate::Call> BackendGate::Extract(ServeId id) {
   const auto found = this->calls.find(id);
-  const auto call = std::move(found->second);
+  auto call = std::move(found->second);
   this->calls.erase(found);
-  call->handler(std::move(result));
+  const auto [first, last] =
+      this->by_deadline.equal_range(call->told_deadline);
+  for (auto entry = first; entry != last; ++entry) {
+    if (entry->second == id) {
+      this->by_deadline.erase(entry);
+      break;
+    }
+  }
+  return call;
+}
+
+void BackendGate::Finish(ServeId id, ServeResult result) {
+  this->Extract(id)->handler(std::move(result));
+}
+
+std::optional<Parent> BackendGate::FindParent(SteadyTime deadline) const {
+  auto entry = this->by_deadline.lower_bound(deadline - kDeadlineMatch);
+  std::optional<Parent> best;
+  auto best_distance = SteadyTime::duration::max();
+  for (; entry != this->by_deadline.end() &&
+         entry->first <= deadline + kDeadlineMatch;
+       ++entry) {
+    const auto distance = std::chrono::abs(entry->first - deadline);
+    if (distance < best_distance) {
+      best_distance = distance;
+      const auto& info = this->calls.at(entry->second)->request.info;
+      best = Parent{entry->second, info.priority, info.tree_rank, info.repeat};
+    }
+  }
+  return best;
+}
+
+void BackendGate::NoteChild(ServeId parent, double shed_level) {
+  const auto found = this->calls.find(parent);
+  if (found != this->calls.end()) {
+    auto& level = found->second->child_shed_level;
+    level = std::max(level, shed_level);
+  }
 }
 
 ServeResult BackendGate::Refusal(Reason reason,
@@ -318,6 +360,7 @@
   result.reason = reason;
   result.retry_after = retry_after;
   result.load = this->LoadNow();
+  result.shed_level = this->admission.shed.level;
   return result;
 }
 
--- a/src/libmesh/backend_gate.h
+++ b/src/libmesh/backend_gate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -18,6 +19,14 @@
 /// Names a call at its gate.
 using ServeId = std::uint64_t;
 
+/// A running call whose backend server makes calls of its own.
+struct Parent {
+  ServeId id = 0;
+  int priority = 0;
+  double tree_rank = 0;
+  bool repeat = false;
+};
+
 /// Decides which calls reach the backend server beside this node, and when.
 /// Only this node can reach that server, so its own count of calls in flight
 /// and its knowledge of the server's start and leaving are the truth: a refusal
@@ -44,6 +53,13 @@
   /// cancelled, other work goes on without anybody to answer.
   void Withdraw(ServeId id);
 
+  /// The running call that caused a request with this deadline, if one of the
+  /// backend server's calls has it: a call expires with its parent, and nothing
+  /// else tells them apart from requests of clients.
+  std::optional<Parent> FindParent(SteadyTime deadline) const;
+  /// Notes what a call of a running call met; it counts for the parent's result.
+  void NoteChild(ServeId parent, double shed_level);
+
   bool Serves(const ServiceName& service) const;
   admission::Load LoadNow() const;
   std::size_t InFlight() const { return this->calls.size(); }
@@ -64,6 +80,7 @@
   ServeResult Interpret(h1::FetchResult fetch, const Call& call) const;
   void NoteBackendHealth(const h1::FetchResult& fetch);
   void Finish(ServeId id, ServeResult result);
+  std::unique_ptr<Call> Extract(ServeId id);
   ServeResult Refusal(Reason reason,
                       std::chrono::milliseconds retry_after) const;
   void Arm();
@@ -76,6 +93,8 @@
   LocalBackend backend;
   admission::State admission;
   std::unordered_map<ServeId, std::unique_ptr<Call>> calls;
+  /// Running calls by the deadline that the backend server was told.
+  std::multimap<SteadyTime, ServeId> by_deadline;
   ServeId next_id = 1;
   std::optional<h1::TimerQueue::Id> timer;
   SteadyTime armed_for;
--- a/src/libmesh/call.cc
+++ b/src/libmesh/call.cc
@@ -1,5 +1,6 @@
 #include "cassiakeel/mesh/call.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
@@ -9,6 +10,17 @@
 namespace cassiakeel::mesh {
 namespace {
 
+// Precision of ranks and shed levels between nodes.
+constexpr double kLevelScale = 10000;
+
+std::string Scaled(double value) {
+  return std::to_string(static_cast<std::int64_t>(value * kLevelScale));
+}
+
+double Unscaled(std::int64_t value) {
+  return static_cast<double>(value) / kLevelScale;
+}
+
 // Fields are separated by '|'; names of services and routes that contain it do
 // not occur, as a row or policy with such a name is refused.
 std::vector<std::string_view> Split(std::string_view text) {
@@ -67,25 +79,33 @@
 
 }  // namespace
 
+RequestClass ClassOfPriority(int priority) {
+  const auto last = static_cast<int>(kRequestClassCount) - 1;
+  return kAllRequestClasses[static_cast<std::size_t>(
+      std::clamp(priority, 0, last))];
+}
+
 std::string FormatCall(const CallInfo& info) {
   return Join(info.service.Value(), info.caller.Value(), info.route,
               std::to_string(info.priority),
               std::to_string(static_cast<int>(info.idempotent)),
               std::to_string(info.target_latency.count()),
-              std::to_string(static_cast<int>(info.repeat)));
+              std::to_string(static_cast<int>(info.repeat)),
+              Scaled(info.tree_rank));
 }
 
 Result<CallInfo> ParseCall(const std::string& text) {
   const auto parts = Split(text);
-  const auto numbers = Numbers<4>(parts, 3);
+  const auto numbers = Numbers<5>(parts, 3);
   if (!numbers) {
     return Fail("parse call", "malformed field " + text);
   }
-  const auto& [priority, idempotent, target, repeat] = *numbers;
+  const auto& [priority, idempotent, target, repeat, rank] = *numbers;
   return CallInfo{ServiceName(std::string(parts[0])),
                   ServiceName(std::string(parts[1])),
                   std::string(parts[2]),
                   static_cast<int>(priority),
+                  Unscaled(rank),
                   idempotent != 0,
                   std::chrono::milliseconds(target),
                   repeat != 0};
@@ -101,11 +121,12 @@
               std::to_string(result.load.queued),
               std::to_string(static_cast<int>(result.load.accepts)),
               std::to_string(static_cast<int>(result.load.leaving)),
-              std::to_string(result.service_time.count() / 1000));
+              std::to_string(result.service_time.count() / 1000),
+              Scaled(result.shed_level));
 }
 
 Result<ServeResult> ParseResult(const std::string& text) {
-  const auto numbers = Numbers<10>(Split(text), 0);
+  const auto numbers = Numbers<11>(Split(text), 0);
   if (!numbers) {
     return Fail("parse result", "malformed field " + text);
   }
@@ -129,6 +150,7 @@
   result.load.accepts = static_cast<RequestClass>(n[7]);
   result.load.leaving = n[8] != 0;
   result.service_time = std::chrono::microseconds(n[9]);
+  result.shed_level = Unscaled(n[10]);
   return result;
 }
 
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <random>
 
+#include "cassiakeel/base/hash.h"
+
 namespace cassiakeel::mesh::pvt {
 namespace {
 
@@ -15,6 +17,8 @@
 constexpr milliseconds kPeerIdle{20000};
 constexpr milliseconds kDeadPeerTimeout{1500};
 constexpr std::size_t kMaxKeptPerPeer = 48;
+// The least wait that lets a wave of demand pass.
+constexpr milliseconds kEntryRetryAfter{300};
 // Time of a caller that names none.
 constexpr milliseconds kDefaultTimeout{15000};
 // After the deadline an answer may still be on its way from the other node.
@@ -61,7 +65,8 @@
        std::shared_ptr<h1::Exchange> exchange,
        std::shared_ptr<const TrafficPolicy> policy,
        const Route& route,
-       std::optional<milliseconds> caller_timeout)
+       std::optional<milliseconds> caller_timeout,
+       std::optional<SteadyTime> latest_end)
       : owner(owner),
         exchange(std::move(exchange)),
         policy(std::move(policy)),
@@ -74,6 +79,9 @@
       this->deadline =
           std::min(this->deadline, this->received + route.timeout);
     }
+    if (latest_end) {
+      this->deadline = std::min(this->deadline, *latest_end);
+    }
     auto& headers = this->exchange->request().headers;
     if (const auto* id =
             h1::FindHeader(headers, owner.settings.fields.attempt_id)) {
@@ -90,6 +98,13 @@
   }
 
   void Run() {
+    this->parent = this->owner.gate.FindParent(this->caller_deadline);
+    this->priority = this->parent ? this->parent->priority : route.priority;
+    this->tree_rank = this->parent ? this->parent->tree_rank
+                                   : StableUnit(this->attempt_id);
+    if (!this->parent && this->ShedAtEntry()) {
+      return;
+    }
     this->service = DrawService(this->route, this->owner.rng);
     this->exchange->OnPeerClosed(
         [self = this->shared_from_this()] { self->OnCallerGone(); });
@@ -102,6 +117,21 @@
   }
 
  private:
+  // Refuses a request of a client that would hardly finish, before any work is
+  // spent on it.
+  bool ShedAtEntry() {
+    const auto now = this->owner.timers->Now();
+    const double level =
+        this->owner.entry_levels.LevelOf(this->route.name.Value(), now);
+    if (admission::ShedPosition(ClassOfPriority(this->priority),
+                                this->tree_rank) >= level) {
+      return false;
+    }
+    this->retry_after = kEntryRetryAfter;
+    this->Refuse(Reason::kOverload);
+    return true;
+  }
+
   void Attempt() {
     const auto now = this->owner.timers->Now();
     auto& pool = this->owner.PoolOf(this->service);
@@ -121,10 +151,11 @@
     CallInfo info{this->service,
                   this->owner.settings.service,
                   this->route.name.Value(),
-                  this->route.priority,
+                  this->priority,
+                  this->tree_rank,
                   this->route.idempotent,
                   this->route.target_latency,
-                  this->arrivals > 0};
+                  this->arrivals > 0 || (this->parent && this->parent->repeat)};
     if (this->node == this->owner.settings.node) {
       this->SendLocally(std::move(info));
     } else {
@@ -217,6 +248,12 @@
     if (result.reached_backend && this->arrivals++ == 0) {
       this->owner.quota.NoteFirst(this->service, now);
     }
+    if (this->parent) {
+      this->owner.gate.NoteChild(this->parent->id, result.shed_level);
+    } else {
+      this->owner.entry_levels.Note(this->route.name.Value(),
+                                    result.shed_level, now);
+    }
     const bool failed = result.reason == Reason::kConnectFailed ||
                         result.reason == Reason::kConnectionLost ||
                         result.reason == Reason::kTimeout;
@@ -396,6 +433,10 @@
   SteadyTime caller_deadline;
   SteadyTime deadline;
   std::string attempt_id;
+  /// The running call of this machine's backend server that caused this one.
+  std::optional<Parent> parent;
+  int priority = 0;
+  double tree_rank = 0;
   ServiceName service;
   NodeId node;
   std::vector<NodeId> tried;
@@ -479,7 +520,8 @@
   return pool;
 }
 
-void Dispatcher::Handle(std::shared_ptr<h1::Exchange> exchange) {
+void Dispatcher::Handle(std::shared_ptr<h1::Exchange> exchange,
+                        std::optional<SteadyTime> latest_end) {
   ++this->statistics.requests;
   const auto& request = exchange->request();
   if (!this->policy) {
@@ -498,6 +540,11 @@
     exchange->Respond({404, {}, {}});
     return;
   }
+  if (latest_end && exchange->received() + route->target_latency > *latest_end) {
+    Count(this->statistics.failures, Reason::kLeaving);
+    exchange->Respond({503, {{"Retry-After", "0.2"}}, {}});
+    return;
+  }
   const auto* timeout =
       h1::FindHeader(request.headers, this->settings.fields.timeout_ms);
   std::optional<milliseconds> caller_timeout;
@@ -505,7 +552,7 @@
     caller_timeout = milliseconds(*value);
   }
   std::make_shared<Call>(*this, std::move(exchange), this->policy, *route,
-                         caller_timeout)
+                         caller_timeout, latest_end)
       ->Run();
 }
 
--- a/src/libmesh/dispatcher.h
+++ b/src/libmesh/dispatcher.h
@@ -14,6 +14,7 @@
 #include "cassiakeel/mesh/settings.h"
 #include "cassiakeel/mesh/traffic_policy.h"
 #include "cassiakeel/routing/selection.h"
+#include "entry_level.h"
 #include "retry_quota.h"
 
 namespace cassiakeel::mesh::pvt {
@@ -35,8 +36,11 @@
 
   void SetPolicy(std::shared_ptr<const TrafficPolicy> next);
   void SetDirectory(std::shared_ptr<const Directory> next);
-  /// A request of a client or of the backend server beside this node.
-  void Handle(std::shared_ptr<h1::Exchange> exchange);
+  /// A request of a client or of the backend server beside this node. With
+  /// `latest_end`, it is refused unless its target latency ends before that,
+  /// and given no more time.
+  void Handle(std::shared_ptr<h1::Exchange> exchange,
+              std::optional<SteadyTime> latest_end = std::nullopt);
   bool HasPolicy() const { return this->policy != nullptr; }
 
  private:
@@ -63,6 +67,7 @@
   std::shared_ptr<const Directory> directory;
   std::unordered_map<ServiceName, routing::Pool> pools;
   RetryQuota quota;
+  EntryLevels entry_levels;
   Rng rng;
 };
 
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -23,6 +23,14 @@
 // Part of the grace time that is left for the end of the process.
 constexpr milliseconds kExitReserve{700};
 constexpr milliseconds kStopPoll{50};
+// A stopping node serves calls for its backend server for this long, while
+// others learn of it, and refuses them afterwards: what was accepted last still
+// has half of the usual grace time to end.
+constexpr milliseconds kServeWhileStopping{2400};
+// Later requests get no more time than this node has left, so that none is cut
+// off by its end.
+constexpr milliseconds kDispatchWhileStopping{2800};
+constexpr milliseconds kAnswerReserve{250};
 
 std::optional<std::int64_t> ParseInteger(const std::string* text) {
   std::int64_t value = 0;
@@ -65,7 +73,7 @@
     auto outbound = h1::Server::Create(
         this->io_context, this->timers, this->settings.outbound,
         this->client_limits, [this](std::shared_ptr<h1::Exchange> exchange) {
-          this->dispatcher->Handle(std::move(exchange));
+          this->Dispatch(std::move(exchange));
         });
     if (!outbound) {
       return tl::unexpected(outbound.error());
@@ -147,8 +155,31 @@
   pvt::BackendGate& gate_ref() { return *this->gate; }
 
  private:
+  bool StoppingFor(milliseconds time) const {
+    return this->stopping && this->clock.Now() - this->stop_began >= time;
+  }
+
+  // A request that begins on this machine.
+  void Dispatch(std::shared_ptr<h1::Exchange> exchange) {
+    std::optional<SteadyTime> latest_end;
+    if (this->StoppingFor(kDispatchWhileStopping)) {
+      latest_end = this->stop_began + this->settings.grace - kExitReserve -
+                   kAnswerReserve;
+    }
+    this->dispatcher->Handle(std::move(exchange), latest_end);
+  }
+
   // A call from another node for the backend server of this machine.
   void Serve(std::shared_ptr<h1::Exchange> exchange) {
+    if (this->StoppingFor(kServeWhileStopping)) {
+      pvt::Count(this->statistics.gate_refusals, Reason::kLeaving);
+      ServeResult result;
+      result.outcome = Outcome::kNotRun;
+      result.reason = Reason::kLeaving;
+      result.load = this->gate->LoadNow();
+      this->Reply(*exchange, std::move(result));
+      return;
+    }
     auto& request = exchange->request();
     const auto* text = h1::FindHeader(request.headers, kCallField);
     const auto timeout = ParseInteger(
