--- a/src/libadmission/limit.cc
+++ b/src/libadmission/limit.cc
@@ -167,17 +167,17 @@
 void ReconfigureLimit(LimitState& state, const Config& config) {
   state.ceiling = CeilingOf(config);
   state.adaptive = config.adaptive;
-  state.limit = state.adaptive ? std::min(state.limit,
-                                          static_cast<double>(state.ceiling))
-                               : state.ceiling;
+  state.limit = state.adaptive
+                    ? std::min(state.limit, static_cast<double>(state.ceiling))
+                    : state.ceiling;
 }
 
 int CurrentLimit(const LimitState& state, SteadyTime now) {
   double bound = std::min(state.limit, static_cast<double>(state.ceiling));
   const auto warm_for = now - state.cold_since;
   if (warm_for < state.ramp_time) {
-    const double progress =
-        std::max(0.0, std::chrono::duration<double>(warm_for) / state.ramp_time);
+    const double progress = std::max(
+        0.0, std::chrono::duration<double>(warm_for) / state.ramp_time);
     bound = std::min(
         bound, state.ceiling * (kColdShare + (1 - kColdShare) * progress));
   }
--- a/src/libh1/client.cc
+++ b/src/libh1/client.cc
@@ -266,8 +266,7 @@
     if (this->fetch.echo_field.empty()) {
       return false;
     }
-    const auto* echo =
-        FindHeader(this->parser.headers, this->fetch.echo_field);
+    const auto* echo = FindHeader(this->parser.headers, this->fetch.echo_field);
     return echo != nullptr && *echo != this->fetch.echo_value;
   }
 
@@ -328,21 +327,20 @@
 
   void SetTimeout(SteadyTime due) {
     this->CancelTimeout();
-    this->timeout =
-        this->core->timers->Add(due, [weak = this->weak_from_this()] {
-          const auto self = weak.lock();
-          if (!self) {
-            return;
-          }
-          self->timeout.reset();
-          if (self->handler) {
-            self->Finish(
-                self->connected ? FetchEnd::kTimeout : FetchEnd::kNotSent,
-                "timed out");
-          } else {
-            self->Close();
-          }
-        });
+    this->timeout = this->core->timers->Add(due, [weak =
+                                                      this->weak_from_this()] {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      self->timeout.reset();
+      if (self->handler) {
+        self->Finish(self->connected ? FetchEnd::kTimeout : FetchEnd::kNotSent,
+                     "timed out");
+      } else {
+        self->Close();
+      }
+    });
   }
 
   void CancelTimeout() {
--- /dev/null
+++ b/src/libh1/h1_test.cc
@@ -0,0 +1,372 @@
+#define CATCH_CONFIG_MAIN
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <thread>
+
+#include "cassiakeel/h1/client.h"
+#include "cassiakeel/h1/server.h"
+
+namespace cassiakeel::h1 {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+// A client and a server under test on one context, with plain sockets as their
+// peers.
+class Loop {
+ public:
+  Loop() : timers(TimerQueue::Create(this->io_context, this->clock)) {}
+
+  void RunUntil(const std::function<bool()>& done,
+                milliseconds limit = milliseconds(3000)) {
+    const auto end = this->clock.Now() + limit;
+    while (!done() && this->clock.Now() < end) {
+      this->io_context.run_for(milliseconds(5));
+      this->io_context.restart();
+    }
+    REQUIRE(done());
+  }
+
+  std::unique_ptr<Server> Serve(ExchangeHandler handler) {
+    this->address = PeerAddress("127.0.0.1:" + std::to_string(FreePort()));
+    auto server = Server::Create(this->io_context, this->timers, this->address,
+                                 this->limits, std::move(handler));
+    REQUIRE(server);
+    return std::move(*server);
+  }
+
+  static int FreePort() {
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+  }
+
+  asio::io_context io_context;
+  SystemClock clock;
+  std::shared_ptr<TimerQueue> timers;
+  ServerLimits limits;
+  PeerAddress address;
+};
+
+tcp::endpoint EndpointOf(const PeerAddress& address) {
+  const auto& text = address.Value();
+  const auto colon = text.rfind(':');
+  return {asio::ip::make_address(text.substr(0, colon)),
+          static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1)))};
+}
+
+// Sends `bytes` to the server and returns all that comes back until it closes
+// or nothing came for a while.
+std::string Talk(Loop& loop, const std::string& bytes) {
+  tcp::socket socket(loop.io_context);
+  socket.connect(EndpointOf(loop.address));
+  asio::write(socket, asio::buffer(bytes));
+  socket.non_blocking(true);
+  std::string received;
+  const auto end = loop.clock.Now() + milliseconds(300);
+  while (loop.clock.Now() < end) {
+    loop.io_context.run_for(milliseconds(5));
+    loop.io_context.restart();
+    std::array<char, 4096> buffer{};
+    asio::error_code error;
+    const auto count = socket.read_some(asio::buffer(buffer), error);
+    received.append(buffer.data(), error ? 0 : count);
+    if (error == asio::error::eof) {
+      break;
+    }
+  }
+  return received;
+}
+
+// A peer that answers each connection's bytes as a script says.
+class RawServer {
+ public:
+  using Script = std::function<void(tcp::socket&)>;
+  explicit RawServer(Script script)
+      : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0}),
+        thread([this, script = std::move(script)] {
+          asio::error_code error;
+          while (true) {
+            tcp::socket socket(this->context);
+            this->acceptor.accept(socket, error);
+            if (error || this->stopped) {
+              return;
+            }
+            ++this->connections;
+            script(socket);
+          }
+        }) {}
+  ~RawServer() {
+    this->stopped = true;
+    asio::error_code ignored;
+    tcp::socket wake(this->context);
+    wake.connect(this->acceptor.local_endpoint(), ignored);
+    this->thread.join();
+  }
+  PeerAddress address() const {
+    return PeerAddress("127.0.0.1:" +
+                       std::to_string(this->acceptor.local_endpoint().port()));
+  }
+
+  std::atomic<int> connections{0};
+
+ private:
+  asio::io_context context;
+  tcp::acceptor acceptor;
+  std::atomic<bool> stopped{false};
+  std::thread thread;
+};
+
+std::string ReadHead(tcp::socket& socket) {
+  std::string head;
+  asio::error_code error;
+  while (head.find("\r\n\r\n") == std::string::npos && !error) {
+    std::array<char, 1024> buffer{};
+    const auto count = socket.read_some(asio::buffer(buffer), error);
+    head.append(buffer.data(), count);
+  }
+  return head;
+}
+
+void Reply(tcp::socket& socket, const std::string& bytes) {
+  asio::error_code ignored;
+  asio::write(socket, asio::buffer(bytes), ignored);
+}
+
+Fetch GetFrom(Loop& loop, const PeerAddress& peer, const std::string& id) {
+  Fetch fetch;
+  fetch.peer = peer;
+  fetch.request = {"GET", "/a/1", {{"Host", "h"}, {"Id", id}}, {}};
+  fetch.deadline = loop.clock.Now() + milliseconds(500);
+  fetch.echo_field = "Id";
+  fetch.echo_value = id;
+  return fetch;
+}
+
+FetchResult Run(Loop& loop, Client& client, Fetch fetch) {
+  std::optional<FetchResult> result;
+  client.Start(std::move(fetch),
+               [&result](FetchResult end) { result = std::move(end); });
+  loop.RunUntil([&result] { return result.has_value(); });
+  return std::move(*result);
+}
+
+}  // namespace
+
+TEST_CASE("malformed input gets a status and never reaches the handler") {
+  Loop loop;
+  loop.limits.message = {512, 64};
+  int served = 0;
+  const auto server = loop.Serve([&served](std::shared_ptr<Exchange> exchange) {
+    ++served;
+    exchange->Respond({200, {}, {}});
+  });
+  // Two framings of one body are how a request is smuggled inside another.
+  CHECK(Talk(loop,
+             "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+            .starts_with("HTTP/1.1 400"));
+  CHECK(Talk(loop,
+             "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+             "Content-Length: 4\r\n\r\nabc")
+            .starts_with("HTTP/1.1 400"));
+  CHECK(Talk(loop, "GET /" + std::string(1000, 'a') + " HTTP/1.1\r\n\r\n")
+            .starts_with("HTTP/1.1 431"));
+  CHECK(Talk(loop, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n")
+            .starts_with("HTTP/1.1 413"));
+  CHECK(Talk(loop, std::string("GET /\0a HTTP/1.1\r\nHost: h\r\n\r\n", 29))
+            .starts_with("HTTP/1.1 400"));
+  CHECK(served == 0);
+}
+
+TEST_CASE("pipelined requests are answered in order") {
+  Loop loop;
+  const auto server = loop.Serve([](std::shared_ptr<Exchange> exchange) {
+    exchange->Respond({200, {}, exchange->request().target});
+  });
+  const auto text = Talk(loop,
+                         "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"
+                         "GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto first = text.find("/first");
+  REQUIRE(first != std::string::npos);
+  CHECK(text.find("/second") > first);
+}
+
+TEST_CASE(
+    "a request that stops half way gets 408, an idle connection is closed") {
+  Loop loop;
+  loop.limits.header_timeout = milliseconds(50);
+  const auto server = loop.Serve([](std::shared_ptr<Exchange>) {});
+  CHECK(Talk(loop, "GET /a HT").starts_with("HTTP/1.1 408"));
+}
+
+TEST_CASE("a caller that leaves is noticed while its request is served") {
+  Loop loop;
+  bool gone = false;
+  std::shared_ptr<Exchange> held;
+  const auto server = loop.Serve([&](std::shared_ptr<Exchange> exchange) {
+    held = exchange;
+    exchange->OnPeerClosed([&gone] { gone = true; });
+  });
+  tcp::socket socket(loop.io_context);
+  socket.connect(EndpointOf(loop.address));
+  asio::write(socket,
+              asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
+  loop.RunUntil([&held] { return held != nullptr; });
+  socket.close();
+  loop.RunUntil([&gone] { return gone; });
+}
+
+TEST_CASE("a stopping server announces the close and ends idle connections") {
+  Loop loop;
+  const auto server = loop.Serve([](std::shared_ptr<Exchange> exchange) {
+    exchange->Respond({200, {}, {}});
+  });
+  server->AnnounceClose();
+  CHECK(Talk(loop, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            .find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE("a late response to an earlier request is dropped") {
+  Loop loop;
+  RawServer server([](tcp::socket& socket) {
+    ReadHead(socket);
+    Reply(socket,
+          "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
+          "HTTP/1.1 200 OK\r\nId: new\r\nContent-Length: 3\r\n\r\nnew");
+    ReadHead(socket);
+  });
+  const auto client = Client::Create(loop.io_context, loop.timers, {});
+  const auto result =
+      Run(loop, *client, GetFrom(loop, server.address(), "new"));
+  CHECK(result.end == FetchEnd::kComplete);
+  CHECK(result.response.body == "new");
+}
+
+TEST_CASE("a connection with bytes behind the response is not used again") {
+  Loop loop;
+  RawServer server([](tcp::socket& socket) {
+    ReadHead(socket);
+    Reply(socket,
+          "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nA"
+          "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nB");
+    ReadHead(socket);
+  });
+  const auto client = Client::Create(loop.io_context, loop.timers, {});
+  CHECK(
+      Run(loop, *client, GetFrom(loop, server.address(), "1")).response.body ==
+      "A");
+  CHECK(
+      Run(loop, *client, GetFrom(loop, server.address(), "1")).response.body ==
+      "A");
+  CHECK(server.connections == 2);
+}
+
+TEST_CASE(
+    "a cut response is lost, one without length ends with its connection") {
+  Loop loop;
+  const auto client = Client::Create(loop.io_context, loop.timers, {});
+  RawServer cut([](tcp::socket& socket) {
+    ReadHead(socket);
+    Reply(socket, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+    socket.close();
+  });
+  CHECK(Run(loop, *client, GetFrom(loop, cut.address(), "1")).end ==
+        FetchEnd::kLost);
+  RawServer unframed([](tcp::socket& socket) {
+    ReadHead(socket);
+    Reply(socket, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it");
+    socket.close();
+  });
+  const auto whole = Run(loop, *client, GetFrom(loop, unframed.address(), "1"));
+  CHECK(whole.end == FetchEnd::kComplete);
+  CHECK(whole.response.body == "all of it");
+}
+
+TEST_CASE("a reset within a response without length is no end of it") {
+  Loop loop;
+  RawServer server([](tcp::socket& socket) {
+    ReadHead(socket);
+    Reply(socket, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf");
+    std::this_thread::sleep_for(milliseconds(20));
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+  });
+  const auto client = Client::Create(loop.io_context, loop.timers, {});
+  CHECK(Run(loop, *client, GetFrom(loop, server.address(), "1")).end ==
+        FetchEnd::kLost);
+}
+
+TEST_CASE(
+    "bytes that are no response are lost, a refused connection not sent") {
+  Loop loop;
+  RawServer server([](tcp::socket& socket) {
+    ReadHead(socket);
+    Reply(socket, "what is this\r\n\r\n");
+    socket.close();
+  });
+  const auto client = Client::Create(loop.io_context, loop.timers, {});
+  CHECK(Run(loop, *client, GetFrom(loop, server.address(), "1")).end ==
+        FetchEnd::kLost);
+  const PeerAddress nobody("127.0.0.1:" + std::to_string(Loop::FreePort()));
+  CHECK(Run(loop, *client, GetFrom(loop, nobody, "1")).end ==
+        FetchEnd::kNotSent);
+}
+
+TEST_CASE("a silent peer ends in a time-out") {
+  Loop loop;
+  RawServer server([](tcp::socket& socket) {
+    ReadHead(socket);
+    std::this_thread::sleep_for(milliseconds(400));
+  });
+  const auto client = Client::Create(loop.io_context, loop.timers, {});
+  auto fetch = GetFrom(loop, server.address(), "1");
+  fetch.deadline = loop.clock.Now() + milliseconds(60);
+  CHECK(Run(loop, *client, std::move(fetch)).end == FetchEnd::kTimeout);
+}
+
+TEST_CASE("a connection kept too long is not used for work that runs once") {
+  Loop loop;
+  RawServer server([](tcp::socket& socket) {
+    while (!ReadHead(socket).empty()) {
+      Reply(socket, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n");
+      std::array<char, 1> peek{};
+      asio::error_code error;
+      socket.receive(asio::buffer(peek), tcp::socket::message_peek, error);
+      if (error) {
+        return;
+      }
+    }
+  });
+  ClientOptions options;
+  options.idle_timeout = milliseconds(2000);
+  {
+    const auto client = Client::Create(loop.io_context, loop.timers, options);
+    Run(loop, *client, GetFrom(loop, server.address(), "1"));
+    Run(loop, *client, GetFrom(loop, server.address(), "1"));
+    CHECK(client->connections_opened() == 1);
+    std::this_thread::sleep_for(milliseconds(30));
+    client->DropKept(server.address());
+    auto once = GetFrom(loop, server.address(), "1");
+    once.max_idle = milliseconds(10);
+    Run(loop, *client, std::move(once));
+    CHECK(client->connections_opened() == 2);
+  }
+}
+
+TEST_CASE("connection fields do not travel on") {
+  HeaderList headers = {{"Connection", "X-Own, close"},
+                        {"X-Own", "1"},
+                        {"Keep-Alive", "timeout=5"},
+                        {"Transfer-Encoding", "chunked"},
+                        {"X-Kept", "2"}};
+  RemoveConnectionFields(headers);
+  REQUIRE(headers.size() == 1);
+  CHECK(headers[0].first == "X-Kept");
+}
+
+}  // namespace cassiakeel::h1
--- a/src/libh1/message.cc
+++ b/src/libh1/message.cc
@@ -10,9 +10,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kConnectionFields = {
-    "Connection",        "Keep-Alive",       "Proxy-Connection",
-    "Transfer-Encoding", "TE",               "Trailer",
-    "Upgrade",           "Content-Length",   "Expect"};
+    "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+    "TE",         "Trailer",    "Upgrade",          "Content-Length",
+    "Expect"};
 
 std::vector<std::string> NamedFields(const HeaderList& headers) {
   std::vector<std::string> names;
--- a/src/libh1/parser.cc
+++ b/src/libh1/parser.cc
@@ -29,8 +29,8 @@
 }
 
 void Parser::Reset() {
-  http_parser_init(&this->machine, this->kind == Kind::kRequest ? HTTP_REQUEST
-                                                                : HTTP_RESPONSE);
+  http_parser_init(&this->machine,
+                   this->kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   this->machine.data = this;
   this->method.clear();
   this->target.clear();
--- a/src/libh1/server.cc
+++ b/src/libh1/server.cc
@@ -216,8 +216,7 @@
   void SetTimeout(std::chrono::milliseconds after) {
     this->CancelTimeout();
     this->timeout = this->shared->timers->Add(
-        this->shared->timers->Now() + after,
-        [weak = this->weak_from_this()] {
+        this->shared->timers->Now() + after, [weak = this->weak_from_this()] {
           if (const auto self = weak.lock()) {
             self->timeout.reset();
             self->OnTimeout();
@@ -300,11 +299,12 @@
   this->keep_alive = this->parser.keep_alive();
   this->head_request = this->parser.method == "HEAD";
   this->CancelTimeout();
-  Request request{std::move(this->parser.method),
-                  std::move(this->parser.target),
-                  std::move(this->parser.headers), std::move(this->parser.body)};
-  this->active = std::make_shared<ServedExchange>(
-      this->shared_from_this(), std::move(request), this->shared->timers->Now());
+  Request request{
+      std::move(this->parser.method), std::move(this->parser.target),
+      std::move(this->parser.headers), std::move(this->parser.body)};
+  this->active = std::make_shared<ServedExchange>(this->shared_from_this(),
+                                                  std::move(request),
+                                                  this->shared->timers->Now());
   ++this->shared->in_progress;
   // Keeps watching for a peer that leaves.
   this->Wait();
--- a/src/libh1/socket_io.h
+++ b/src/libh1/socket_io.h
@@ -22,13 +22,13 @@
                                asio::error_code& error);
 
 /// Sets TCP_NODELAY, non-blocking mode and detection of dead peers: keep-alive
-/// probes after a third of `dead_after` and TCP_USER_TIMEOUT. Connections may go
-/// silent without a reset.
+/// probes after a third of `dead_after` and TCP_USER_TIMEOUT. Connections may
+/// go silent without a reset.
 void SetUpSocket(asio::ip::tcp::socket& socket,
                  std::chrono::milliseconds dead_after);
 
-/// Writes `bytes`, most often at once, and calls `done` with the error, possibly
-/// before returning. `keep_alive` is held until then.
+/// Writes `bytes`, most often at once, and calls `done` with the error,
+/// possibly before returning. `keep_alive` is held until then.
 void WriteAll(asio::ip::tcp::socket& socket,
               std::string bytes,
               std::shared_ptr<void> keep_alive,
--- a/src/libh1/timer_queue.cc
+++ b/src/libh1/timer_queue.cc
@@ -43,8 +43,8 @@
   }
   const auto due = this->entries.begin()->first.first;
   this->armed_for = due;
-  const auto wait = std::max<std::chrono::nanoseconds>(due - this->Now(),
-                                                       kGranularity);
+  const auto wait =
+      std::max<std::chrono::nanoseconds>(due - this->Now(), kGranularity);
   this->timer.expires_after(wait);
   this->timer.async_wait([weak = this->weak_from_this()](asio::error_code ec) {
     const auto self = weak.lock();
--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -47,8 +47,8 @@
     const FieldNames& fields,
     DecisionLog& log,
     Statistics& statistics) {
-  return std::unique_ptr<BackendGate>(new BackendGate(
-      io_context, std::move(timers), fields, log, statistics));
+  return std::unique_ptr<BackendGate>(
+      new BackendGate(io_context, std::move(timers), fields, log, statistics));
 }
 
 BackendGate::BackendGate(asio::io_context& io_context,
@@ -60,10 +60,10 @@
       fields(fields),
       log(log),
       statistics(statistics),
-      client(h1::Client::Create(io_context,
-                                this->timers,
-                                {kConnectTimeout, kIdleTimeout,
-                                 kDeadPeerTimeout, 512, {}})) {}
+      client(h1::Client::Create(
+          io_context,
+          this->timers,
+          {kConnectTimeout, kIdleTimeout, kDeadPeerTimeout, 512, {}})) {}
 
 BackendGate::~BackendGate() = default;
 
@@ -95,8 +95,7 @@
     this->down_until = SteadyTime();
   }
   this->backend = next;
-  admission::SetLeaving(this->admission,
-                        !next.present || next.report.leaving);
+  admission::SetLeaving(this->admission, !next.present || next.report.leaving);
   this->Apply(admission::Advance(this->admission, now));
 }
 
@@ -191,9 +190,9 @@
 void BackendGate::Start(ServeId id) {
   auto& call = *this->calls.at(id);
   const auto now = this->timers->Now();
-  const auto left =
-      std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(
-                                    call.request.deadline - now));
+  const auto left = std::max(
+      milliseconds(1),
+      std::chrono::duration_cast<milliseconds>(call.request.deadline - now));
   call.told_deadline = now + left;
   this->by_deadline.emplace(call.told_deadline, id);
   h1::Fetch fetch;
@@ -202,12 +201,10 @@
   fetch.deadline = call.request.deadline + kAnswerSlack;
   fetch.echo_field = this->fields.attempt_id;
   auto& headers = fetch.request.headers;
-  if (const auto* attempt =
-          h1::FindHeader(headers, this->fields.attempt_id)) {
+  if (const auto* attempt = h1::FindHeader(headers, this->fields.attempt_id)) {
     fetch.echo_value = *attempt;
   }
-  headers.emplace_back(this->fields.timeout_ms,
-                       std::to_string(left.count()));
+  headers.emplace_back(this->fields.timeout_ms, std::to_string(left.count()));
   headers.emplace_back(this->fields.expected_instance,
                        this->backend.report.instance.Value());
   headers.emplace_back(this->fields.caller_service,
@@ -216,10 +213,10 @@
     fetch.max_idle = kMaxIdleOnce;
   }
   ++this->statistics.served;
-  call.fetch = this->client->Start(
-      std::move(fetch), [this, id, now](h1::FetchResult result) {
-        this->OnAnswer(id, std::move(result), now);
-      });
+  call.fetch = this->client->Start(std::move(fetch),
+                                   [this, id, now](h1::FetchResult result) {
+                                     this->OnAnswer(id, std::move(result), now);
+                                   });
 }
 
 void BackendGate::OnAnswer(ServeId id,
@@ -244,8 +241,8 @@
   const auto decisions = admission::Finish(
       this->admission, admission::TicketId(id), completion, now);
   result.load = admission::LoadOf(this->admission, now);
-  result.shed_level = std::max(this->admission.shed.level,
-                               found->second->child_shed_level);
+  result.shed_level =
+      std::max(this->admission.shed.level, found->second->child_shed_level);
   this->Finish(id, std::move(result));
   this->Apply(decisions);
 }
@@ -313,8 +310,7 @@
   const auto found = this->calls.find(id);
   auto call = std::move(found->second);
   this->calls.erase(found);
-  const auto [first, last] =
-      this->by_deadline.equal_range(call->told_deadline);
+  const auto [first, last] = this->by_deadline.equal_range(call->told_deadline);
   for (auto entry = first; entry != last; ++entry) {
     if (entry->second == id) {
       this->by_deadline.erase(entry);
--- a/src/libmesh/backend_gate.h
+++ b/src/libmesh/backend_gate.h
@@ -57,7 +57,8 @@
   /// backend server's calls has it: a call expires with its parent, and nothing
   /// else tells them apart from requests of clients.
   std::optional<Parent> FindParent(SteadyTime deadline) const;
-  /// Notes what a call of a running call met; it counts for the parent's result.
+  /// Notes what a call of a running call met; it counts for the parent's
+  /// result.
   void NoteChild(ServeId parent, double shed_level);
 
   bool Serves(const ServiceName& service) const;
--- a/src/libmesh/backend_watch.cc
+++ b/src/libmesh/backend_watch.cc
@@ -31,8 +31,7 @@
   if (report.started_at_ms != known.started_at_ms) {
     return report.started_at_ms > known.started_at_ms;
   }
-  return report.instance != known.instance ||
-         report.sequence > known.sequence;
+  return report.instance != known.instance || report.sequence > known.sequence;
 }
 
 void BackendWatch::OnReport(const BackendReport& report) {
@@ -44,8 +43,7 @@
       report.instance == this->backend.report.instance &&
       report.started_at_ms == this->backend.report.started_at_ms;
   // A server that left does not come back without a new start.
-  next.leaving =
-      report.leaving || (same_start && this->backend.report.leaving);
+  next.leaving = report.leaving || (same_start && this->backend.report.leaving);
   const bool changed =
       !this->backend.present || Differs(next, this->backend.report);
   this->backend = {true, next};
@@ -68,12 +66,11 @@
   if (this->timer) {
     this->timers->Cancel(*this->timer);
   }
-  this->timer =
-      this->timers->Add(this->timers->Now() + this->silence, [this] {
-        this->timer.reset();
-        this->backend.present = false;
-        this->on_change(this->backend);
-      });
+  this->timer = this->timers->Add(this->timers->Now() + this->silence, [this] {
+    this->timer.reset();
+    this->backend.present = false;
+    this->on_change(this->backend);
+  });
 }
 
 }  // namespace cassiakeel::mesh
--- a/src/libmesh/call.cc
+++ b/src/libmesh/call.cc
@@ -132,7 +132,8 @@
   }
   const auto& n = *numbers;
   constexpr auto kLastOutcome = static_cast<std::int64_t>(Outcome::kUnknown);
-  constexpr auto kLastReason = static_cast<std::int64_t>(Reason::kServerRefused);
+  constexpr auto kLastReason =
+      static_cast<std::int64_t>(Reason::kServerRefused);
   constexpr auto kLastClass =
       static_cast<std::int64_t>(RequestClass::kBackground);
   if (n[0] < 0 || n[0] > kLastOutcome || n[1] < 0 || n[1] > kLastReason ||
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -30,8 +30,8 @@
         node(node),
         decode_policy(std::move(decode_policy)),
         log(clock) {
-    this->registrar = Registrar::Create(store, timers, settings.directory_table,
-                                        mesh.node);
+    this->registrar =
+        Registrar::Create(store, timers, settings.directory_table, mesh.node);
     this->watch = BackendWatch::Create(
         timers, settings.report_interval * kMissedReports + kReportSlack,
         [this](const LocalBackend& backend) { this->OnBackend(backend); });
@@ -65,9 +65,9 @@
  private:
   TableFollower::LinkHandler LinkLogger(const std::string& table) {
     return [this, table](bool up, const std::string& cause) {
-      this->log.Write(up ? "store_regained" : "store_lost",
-                      pvt::Text("table", table) + "," +
-                          pvt::Text("cause", cause));
+      this->log.Write(
+          up ? "store_regained" : "store_lost",
+          pvt::Text("table", table) + "," + pvt::Text("cause", cause));
     };
   }
 
@@ -154,9 +154,9 @@
     const Clock& clock,
     MeshNode& node,
     PolicyDecoder decode_policy) {
-  return std::unique_ptr<MeshControl>(new MeshControl(std::make_unique<Impl>(
-      mesh, settings, store, std::move(timers), clock, node,
-      std::move(decode_policy))));
+  return std::unique_ptr<MeshControl>(new MeshControl(
+      std::make_unique<Impl>(mesh, settings, store, std::move(timers), clock,
+                             node, std::move(decode_policy))));
 }
 
 MeshControl::MeshControl(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
--- /dev/null
+++ b/src/libmesh/control_state_test.cc
@@ -0,0 +1,287 @@
+#include <rapidcheck.h>
+
+#include "cassiakeel/mesh/backend_watch.h"
+#include "cassiakeel/mesh/registrar.h"
+#include "cassiakeel/mesh/table_follower.h"
+#include "entry_level.h"
+#include "mesh_test_support.h"
+#include "retry_quota.h"
+
+namespace cassiakeel::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct ControlLoop {
+  ControlLoop() : timers(h1::TimerQueue::Create(io_context, clock)) {}
+  // Runs timers on real time and the store's answers in between.
+  void RunFor(milliseconds time, FakeStore& store) {
+    const auto end = this->clock.Now() + time;
+    while (this->clock.Now() < end) {
+      store.Settle();
+      this->io_context.run_for(milliseconds(5));
+      this->io_context.restart();
+    }
+  }
+  asio::io_context io_context;
+  SystemClock clock;
+  std::shared_ptr<h1::TimerQueue> timers;
+};
+
+BackendReport Report(const std::string& id,
+                     std::int64_t born,
+                     std::uint64_t sequence) {
+  BackendReport report;
+  report.instance = InstanceId(id);
+  report.service = ServiceName("s");
+  report.address = PeerAddress("127.0.0.1:1");
+  report.started_at_ms = born;
+  report.sequence = sequence;
+  return report;
+}
+
+DirectoryEntry Entry(const std::string& instance) {
+  DirectoryEntry entry;
+  entry.node = NodeId("n");
+  entry.address = PeerAddress("127.0.0.1:1");
+  entry.zone = ZoneName("z");
+  entry.service = ServiceName("s");
+  entry.instance = InstanceId(instance);
+  return entry;
+}
+
+}  // namespace
+
+TEST_CASE("a late report of a predecessor does not replace its successor") {
+  ControlLoop loop;
+  const auto watch = BackendWatch::Create(loop.timers, milliseconds(5000),
+                                          [](const LocalBackend&) {});
+  watch->OnReport(Report("old", 100, 7));
+  watch->OnReport(Report("new", 200, 1));
+  watch->OnReport(Report("old", 100, 8));
+  CHECK(watch->current().report.instance.Value() == "new");
+}
+
+TEST_CASE(
+    "a restart under the same id is news although its count starts anew") {
+  ControlLoop loop;
+  int changes = 0;
+  const auto watch =
+      BackendWatch::Create(loop.timers, milliseconds(5000),
+                           [&changes](const LocalBackend&) { ++changes; });
+  auto leaving = Report("same", 100, 50);
+  leaving.leaving = true;
+  watch->OnReport(leaving);
+  watch->OnReport(Report("same", 200, 1));
+  CHECK_FALSE(watch->current().report.leaving);
+  CHECK(changes == 2);
+}
+
+TEST_CASE("a server that said it leaves stays leaving for later reports") {
+  ControlLoop loop;
+  const auto watch = BackendWatch::Create(loop.timers, milliseconds(5000),
+                                          [](const LocalBackend&) {});
+  watch->OnReport(Report("a", 1, 1));
+  watch->OnDeparture(InstanceId("a"));
+  watch->OnReport(Report("a", 1, 2));
+  CHECK(watch->current().report.leaving);
+}
+
+TEST_CASE("a server without reports is taken as gone and comes back with one") {
+  ControlLoop loop;
+  FakeStore store;
+  const auto watch = BackendWatch::Create(loop.timers, milliseconds(40),
+                                          [](const LocalBackend&) {});
+  watch->OnReport(Report("a", 1, 1));
+  loop.RunFor(milliseconds(100), store);
+  CHECK_FALSE(watch->current().present);
+  watch->OnReport(Report("a", 1, 2));
+  CHECK(watch->current().present);
+}
+
+TEST_CASE("a follower reads anew when the store forgot its history") {
+  ControlLoop loop;
+  FakeStore store;
+  store.Put("a", "1");
+  RowMap seen;
+  const auto follower = TableFollower::Create(
+      store, loop.timers, "t", milliseconds(0),
+      [&seen](const RowMap& rows) { seen = rows; },
+      [](bool, const std::string&) {});
+  follower->Start();
+  loop.RunFor(milliseconds(20), store);
+  store.forget_history = true;
+  store.rows.erase("a");
+  store.Put("b", "2");
+  loop.RunFor(milliseconds(50), store);
+  CHECK(store.reads == 2);
+  CHECK(seen.size() == 1);
+  CHECK(seen.contains("b"));
+}
+
+TEST_CASE("a follower outlives an outage and tells of it once") {
+  ControlLoop loop;
+  FakeStore store;
+  store.down = true;
+  std::vector<bool> link;
+  const auto follower = TableFollower::Create(
+      store, loop.timers, "t", milliseconds(0), [](const RowMap&) {},
+      [&link](bool up, const std::string&) { link.push_back(up); });
+  follower->Start();
+  loop.RunFor(milliseconds(150), store);
+  store.down = false;
+  store.Put("a", "1");
+  loop.RunFor(milliseconds(600), store);
+  CHECK(follower->loaded());
+  CHECK(link == std::vector<bool>{false, true});
+}
+
+TEST_CASE("a write that takes effect late does not undo a newer one") {
+  ControlLoop loop;
+  FakeStore store;
+  const auto registrar =
+      Registrar::Create(store, loop.timers, "t", NodeId("n"));
+  registrar->OnRows({});
+  store.lose_writes = 1;
+  registrar->Publish(Entry("first"));
+  loop.RunFor(milliseconds(10), store);
+  registrar->Publish(Entry("second"));
+  loop.RunFor(milliseconds(400), store);
+  REQUIRE(store.rows.contains("n"));
+  const auto written = store.rows["n"].value;
+  for (const auto& late : store.late_writes) {
+    late();
+  }
+  CHECK(store.rows["n"].value == written);
+  CHECK(DecodeEntry("n", written)->instance.Value() == "second");
+}
+
+TEST_CASE("a registration whose answer was lost is found to be done") {
+  ControlLoop loop;
+  FakeStore store;
+  const auto registrar =
+      Registrar::Create(store, loop.timers, "t", NodeId("n"));
+  registrar->OnRows({});
+  store.lose_writes = 1;
+  registrar->Publish(Entry("first"));
+  store.late_writes.front()();
+  loop.RunFor(milliseconds(400), store);
+  CHECK(store.writes == 2);
+  CHECK(DecodeEntry("n", store.rows["n"].value)->instance.Value() == "first");
+}
+
+TEST_CASE(
+    "a row of another writer names no backend server and harms no other") {
+  RowMap rows;
+  rows["good"] = {"good", EncodeEntry(Entry("i")), 1, false};
+  rows["bytes"] = {"bytes", "\x01\x02", 2, false};
+  rows["types"] = {"types", R"({"address":7,"zone":"z"})", 3, false};
+  const auto directory = DecodeDirectory(rows);
+  CHECK(directory.size() == 1);
+  CHECK(directory.contains(NodeId("good")));
+}
+
+TEST_CASE("repeats of all nodes together stay below the bound in any window") {
+  rc::check("shares add up to less than the bound", [] {
+    const int nodes = *rc::gen::inRange(1, 12);
+    const RetryBounds bounds{0.2, std::chrono::seconds(10),
+                             static_cast<double>(*rc::gen::inRange(0, 60))};
+    std::vector<pvt::RetryQuota> quotas(static_cast<std::size_t>(nodes));
+    for (auto& quota : quotas) {
+      quota.SetBounds(bounds, static_cast<std::size_t>(nodes));
+    }
+    const ServiceName service("s");
+    SteadyTime now{std::chrono::hours(1)};
+    std::deque<std::pair<SteadyTime, bool>> events;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 1000));
+    for (const int step : steps) {
+      now += milliseconds(step % 97);
+      auto& quota = quotas[static_cast<std::size_t>(step % nodes)];
+      quota.NoteFirst(service, now);
+      events.emplace_back(now, false);
+      if (quota.Take(service, now)) {
+        events.emplace_back(now, true);
+      }
+      // The bound's requests may be counted up to half a window earlier.
+      int repeats = 0;
+      int firsts = 0;
+      for (const auto& [at, repeat] : events) {
+        if (repeat && now - at < bounds.window) {
+          ++repeats;
+        }
+        if (!repeat && now - at < bounds.window * 3 / 2) {
+          ++firsts;
+        }
+      }
+      RC_ASSERT(repeats <= firsts * bounds.ratio + bounds.slack);
+    }
+  });
+}
+
+TEST_CASE("an entry level rises with what requests meet and falls by itself") {
+  pvt::EntryLevels levels;
+  SteadyTime now{std::chrono::hours(1)};
+  CHECK(levels.LevelOf("r", now) == 0);
+  for (int i = 0; i < 20; ++i) {
+    levels.Note("r", 1.6, now);
+  }
+  CHECK(levels.LevelOf("r", now) == Approx(1.6).margin(0.1));
+  CHECK(levels.LevelOf("other", now) == 0);
+  now += std::chrono::seconds(1);
+  const double later = levels.LevelOf("r", now);
+  CHECK(later < 1.4);
+  CHECK(later > 0.8);
+  CHECK(levels.LevelOf("r", now + std::chrono::seconds(10)) == 0);
+}
+
+TEST_CASE("calls and results keep their fields between nodes") {
+  const CallInfo info{ServiceName("s"),
+                      ServiceName("c"),
+                      "r",
+                      2,
+                      0.25,
+                      true,
+                      milliseconds(300),
+                      true};
+  const auto call = ParseCall(FormatCall(info));
+  REQUIRE(call);
+  CHECK(call->service == info.service);
+  CHECK(call->priority == 2);
+  CHECK(call->tree_rank == Approx(0.25));
+  CHECK(call->repeat);
+  ServeResult result;
+  result.outcome = Outcome::kNotRun;
+  result.reason = Reason::kOverload;
+  result.shed_level = 1.5;
+  result.load.limit = 9;
+  const auto parsed = ParseResult(FormatResult(result));
+  REQUIRE(parsed);
+  CHECK(parsed->reason == Reason::kOverload);
+  CHECK(parsed->shed_level == Approx(1.5));
+  CHECK(parsed->load.limit == 9);
+  CHECK_FALSE(ParseCall("a|b"));
+  CHECK_FALSE(ParseResult("9|0|0|0|0|0|0|0|0|0|0"));
+}
+
+TEST_CASE("the longest prefix wins and weights divide the requests") {
+  auto wide = TestMesh::MakeRoute("x", true);
+  wide.path_prefix = "/a/";
+  auto narrow = TestMesh::MakeRoute("y", true);
+  narrow.path_prefix = "/a/b/";
+  narrow.services = {{ServiceName("y"), 90}, {ServiceName("z"), 10}};
+  const TrafficPolicy policy(PolicyVersion(1), {wide, narrow}, {});
+  CHECK(policy.Find("HOST:80", "/a/b/c")->name.Value() == "r-y");
+  CHECK(policy.Find("host", "/a/c?x=/a/b/")->name.Value() == "r-x");
+  CHECK(policy.Find("host", "/a") == nullptr);
+  CHECK(policy.Find("nobody", "/a/") == nullptr);
+  Rng rng(1);
+  int small = 0;
+  for (int i = 0; i < 5000; ++i) {
+    small += DrawService(narrow, rng).Value() == "z" ? 1 : 0;
+  }
+  CHECK(small > 400);
+  CHECK(small < 600);
+}
+
+}  // namespace cassiakeel::mesh
--- a/src/libmesh/decision_log.cc
+++ b/src/libmesh/decision_log.cc
@@ -23,8 +23,8 @@
   const auto now = this->clock.Now();
   const std::chrono::duration<double> passed = now - this->refilled;
   this->refilled = now;
-  this->tokens = std::min(kBurstLines,
-                          this->tokens + passed.count() * kLinesPerSecond);
+  this->tokens =
+      std::min(kBurstLines, this->tokens + passed.count() * kLinesPerSecond);
   if (this->tokens < 1) {
     ++this->dropped;
     ++this->dropped_total;
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -76,8 +76,7 @@
                         caller_timeout.value_or(kDefaultTimeout)),
         deadline(this->caller_deadline) {
     if (route.timeout.count() > 0) {
-      this->deadline =
-          std::min(this->deadline, this->received + route.timeout);
+      this->deadline = std::min(this->deadline, this->received + route.timeout);
     }
     if (latest_end) {
       this->deadline = std::min(this->deadline, *latest_end);
@@ -100,19 +99,19 @@
   void Run() {
     this->parent = this->owner.gate.FindParent(this->caller_deadline);
     this->priority = this->parent ? this->parent->priority : route.priority;
-    this->tree_rank = this->parent ? this->parent->tree_rank
-                                   : StableUnit(this->attempt_id);
+    this->tree_rank =
+        this->parent ? this->parent->tree_rank : StableUnit(this->attempt_id);
     if (!this->parent && this->ShedAtEntry()) {
       return;
     }
     this->service = DrawService(this->route, this->owner.rng);
     this->exchange->OnPeerClosed(
         [self = this->shared_from_this()] { self->OnCallerGone(); });
-    this->timer = this->owner.timers->Add(
-        this->deadline + kAnswerSlack, [self = this->shared_from_this()] {
-          self->timer.reset();
-          self->OnDeadline();
-        });
+    this->timer = this->owner.timers->Add(this->deadline + kAnswerSlack,
+                                          [self = this->shared_from_this()] {
+                                            self->timer.reset();
+                                            self->OnDeadline();
+                                          });
     this->Attempt();
   }
 
@@ -190,8 +189,8 @@
     fetch.deadline = this->deadline + kAnswerSlack;
     const auto number = ++this->sends;
     this->remote = this->owner.client->Start(
-        std::move(fetch), [self = this->shared_from_this(),
-                           number](h1::FetchResult result) {
+        std::move(fetch),
+        [self = this->shared_from_this(), number](h1::FetchResult result) {
           self->remote.reset();
           self->OnResult(number, Decode(std::move(result)));
         });
@@ -251,8 +250,8 @@
     if (this->parent) {
       this->owner.gate.NoteChild(this->parent->id, result.shed_level);
     } else {
-      this->owner.entry_levels.Note(this->route.name.Value(),
-                                    result.shed_level, now);
+      this->owner.entry_levels.Note(this->route.name.Value(), result.shed_level,
+                                    now);
     }
     const bool failed = result.reason == Reason::kConnectFailed ||
                         result.reason == Reason::kConnectionLost ||
@@ -376,8 +375,8 @@
             Num("reroutes", this->reroutes) + "," +
             Num("arrivals", this->arrivals) + "," +
             Num("age_ms", (now - this->received) / milliseconds(1)) + "," +
-            Num("policy", static_cast<std::int64_t>(
-                              this->policy->version().Value())));
+            Num("policy",
+                static_cast<std::int64_t>(this->policy->version().Value())));
     if (this->fallback) {
       this->Answer(std::move(*this->fallback));
       return;
@@ -387,8 +386,8 @@
       response.status = reason == Reason::kTimeout ? 504 : 502;
     } else {
       response.status = 503;
-      const auto left = std::chrono::duration_cast<milliseconds>(
-          this->caller_deadline - now);
+      const auto left =
+          std::chrono::duration_cast<milliseconds>(this->caller_deadline - now);
       const auto wait = std::clamp(this->retry_after, milliseconds(20),
                                    std::max(milliseconds(20), left / 3));
       response.headers.emplace_back("Retry-After", Seconds(wait));
@@ -476,10 +475,10 @@
       gate(gate),
       log(log),
       statistics(statistics),
-      client(h1::Client::Create(io_context,
-                                this->timers,
-                                {kConnectTimeout, kPeerIdle, kDeadPeerTimeout,
-                                 kMaxKeptPerPeer, {}})),
+      client(h1::Client::Create(
+          io_context,
+          this->timers,
+          {kConnectTimeout, kPeerIdle, kDeadPeerTimeout, kMaxKeptPerPeer, {}})),
       rng(std::random_device()()) {
   this->quota.SetBounds(settings.retry, 1);
 }
@@ -540,7 +539,8 @@
     exchange->Respond({404, {}, {}});
     return;
   }
-  if (latest_end && exchange->received() + route->target_latency > *latest_end) {
+  if (latest_end &&
+      exchange->received() + route->target_latency > *latest_end) {
     Count(this->statistics.failures, Reason::kLeaving);
     exchange->Respond({503, {{"Retry-After", "0.2"}}, {}});
     return;
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -89,8 +89,8 @@
     }
     this->inbound = std::move(*inbound);
     auto ready = h1::Server::Create(
-        this->io_context, this->timers, this->settings.ready,
-        this->peer_limits, [this](std::shared_ptr<h1::Exchange> exchange) {
+        this->io_context, this->timers, this->settings.ready, this->peer_limits,
+        [this](std::shared_ptr<h1::Exchange> exchange) {
           this->AnswerReadiness(*exchange);
         });
     if (!ready) {
@@ -143,8 +143,7 @@
 
   std::string Metrics() const {
     pvt::Gauges gauges;
-    gauges.policy_version =
-        this->policy ? this->policy->version().Value() : 0;
+    gauges.policy_version = this->policy ? this->policy->version().Value() : 0;
     gauges.directory_size = this->directory_size;
     gauges.calls_in_gate = this->gate->InFlight();
     gauges.gate_limit = this->gate->LoadNow().limit;
@@ -184,8 +183,8 @@
     const auto* text = h1::FindHeader(request.headers, kCallField);
     const auto timeout = ParseInteger(
         h1::FindHeader(request.headers, this->settings.fields.timeout_ms));
-    const auto info = text == nullptr ? Fail("read call", "no call field")
-                                      : ParseCall(*text);
+    const auto info =
+        text == nullptr ? Fail("read call", "no call field") : ParseCall(*text);
     if (!info || !timeout) {
       exchange->Respond({400, {}, {}}, true);
       return;
@@ -200,10 +199,10 @@
              h1::SameName(field.first, this->settings.fields.timeout_ms);
     });
     const auto id = std::make_shared<std::optional<pvt::ServeId>>();
-    *id = this->gate->Submit(
-        std::move(serve), [this, exchange](ServeResult result) {
-          this->Reply(*exchange, std::move(result));
-        });
+    *id = this->gate->Submit(std::move(serve),
+                             [this, exchange](ServeResult result) {
+                               this->Reply(*exchange, std::move(result));
+                             });
     exchange->OnPeerClosed([this, id] {
       if (*id) {
         this->gate->Withdraw(**id);
--- a/src/libmesh/registrar.cc
+++ b/src/libmesh/registrar.cc
@@ -15,12 +15,10 @@
 }  // namespace
 
 std::string EncodeEntry(const DirectoryEntry& entry) {
-  return json{{"address", entry.address.Value()},
-              {"zone", entry.zone.Value()},
-              {"service", entry.service.Value()},
-              {"instance", entry.instance.Value()},
-              {"slots", entry.slots.Value()},
-              {"leaving", entry.leaving}}
+  return json{
+      {"address", entry.address.Value()}, {"zone", entry.zone.Value()},
+      {"service", entry.service.Value()}, {"instance", entry.instance.Value()},
+      {"slots", entry.slots.Value()},     {"leaving", entry.leaving}}
       .dump();
 }
 
@@ -88,22 +86,22 @@
 }
 
 void Registrar::Reconcile() {
-  if (!this->has_wish || !this->known || this->writing ||
-      this->retry_pending || this->wanted == this->stored) {
+  if (!this->has_wish || !this->known || this->writing || this->retry_pending ||
+      this->wanted == this->stored) {
     return;
   }
   this->writing = true;
-  this->store->Write(
-      this->table, this->node.Value(), this->wanted, this->stored_version,
-      [self = this->shared_from_this(), value = this->wanted](
-          const WriteReply& reply) {
-        self->writing = false;
-        if (reply.fault == StoreFault::kNone && reply.applied) {
-          self->stored = value;
-          self->stored_version = value ? reply.version : 0;
-        }
-        self->OnWritten(reply);
-      });
+  this->store->Write(this->table, this->node.Value(), this->wanted,
+                     this->stored_version,
+                     [self = this->shared_from_this(),
+                      value = this->wanted](const WriteReply& reply) {
+                       self->writing = false;
+                       if (reply.fault == StoreFault::kNone && reply.applied) {
+                         self->stored = value;
+                         self->stored_version = value ? reply.version : 0;
+                       }
+                       self->OnWritten(reply);
+                     });
 }
 
 void Registrar::OnWritten(const WriteReply& reply) {
@@ -127,8 +125,8 @@
 
 void Registrar::RetryLater() {
   this->retry_pending = true;
-  const auto wait = std::min(kLongestRetry,
-                             kFirstRetry * (1 << std::min(this->failures++, 4)));
+  const auto wait = std::min(
+      kLongestRetry, kFirstRetry * (1 << std::min(this->failures++, 4)));
   this->timers->Add(this->timers->Now() + wait,
                     [self = this->shared_from_this()] {
                       self->retry_pending = false;
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -39,10 +39,10 @@
 }
 
 void TableFollower::Read() {
-  this->store->Read(this->table, [self = this->shared_from_this()](
-                                     StoreReply reply) {
-    self->OnRead(std::move(reply));
-  });
+  this->store->Read(this->table,
+                    [self = this->shared_from_this()](StoreReply reply) {
+                      self->OnRead(std::move(reply));
+                    });
 }
 
 void TableFollower::Follow() {
@@ -116,7 +116,8 @@
     this->on_link(false, reply.message);
   }
   const auto doublings = std::min(this->faults++, 5);
-  const auto bound = std::min(kLongestBackoff, kFirstBackoff * (1 << doublings));
+  const auto bound =
+      std::min(kLongestBackoff, kFirstBackoff * (1 << doublings));
   const auto wait = bound / 2 + FullJitter(bound / 2, this->rng);
   this->timers->Add(this->timers->Now() + wait,
                     [self = this->shared_from_this()] {
--- /dev/null
+++ b/src/libmesh/traffic_test.cc
@@ -0,0 +1,201 @@
+#include "mesh_test_support.h"
+
+namespace cassiakeel::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+
+void AnswerWell(const std::shared_ptr<h1::Exchange>& exchange) {
+  exchange->Respond(FakeBackend::Success(exchange->request()));
+}
+
+void FailAfterRunning(const std::shared_ptr<h1::Exchange>& exchange) {
+  auto response = FakeBackend::Success(exchange->request());
+  response.status = 500;
+  exchange->Respond(std::move(response));
+}
+
+int TotalRuns(const FakeBackend& a, const FakeBackend& b) {
+  return a.runs + b.runs;
+}
+
+}  // namespace
+
+TEST_CASE("a request reaches the service of its route with the caller's name") {
+  FakeBackend backend(AnswerWell);
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "back");
+  mesh.SetBackend("b", backend);
+  mesh.Publish({TestMesh::MakeRoute("back", true)});
+  const auto result = mesh.Call("a", "/back/1", "id-1");
+  CHECK(result.response.status == 200);
+  CHECK(result.response.body == "done");
+  const auto request = backend.LastRequest();
+  CHECK(*h1::FindHeader(request.headers, "Caller") == "front");
+  CHECK(*h1::FindHeader(request.headers, "Expect-Id") == "i-b");
+  CHECK(*h1::FindHeader(request.headers, "Attempt") == "id-1");
+  CHECK(std::stoi(*h1::FindHeader(request.headers, "Timeout")) <= 2000);
+  CHECK(h1::FindHeader(request.headers, kCallField) == nullptr);
+}
+
+TEST_CASE("a path that only another prefix would match is not found") {
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.Publish({TestMesh::MakeRoute("back", true)});
+  CHECK(mesh.Call("a", "/backwards/1", "id").response.status == 404);
+}
+
+TEST_CASE("without a policy a request is refused, not called unknown") {
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  CHECK(mesh.Call("a", "/back/1", "id").response.status == 503);
+}
+
+TEST_CASE("work that must not run twice is not repeated after a server error") {
+  FakeBackend first(FailAfterRunning);
+  FakeBackend second(FailAfterRunning);
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "back");
+  mesh.AddNode("c", "back");
+  mesh.SetBackend("b", first);
+  mesh.SetBackend("c", second);
+  mesh.Publish({TestMesh::MakeRoute("back", false)});
+  const auto result = mesh.Call("a", "/back/1", "id");
+  CHECK(result.response.status == 500);
+  CHECK(TotalRuns(first, second) == 1);
+}
+
+TEST_CASE("idempotent work is repeated after a server error, up to its bound") {
+  FakeBackend first(FailAfterRunning);
+  FakeBackend second(FailAfterRunning);
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "back");
+  mesh.AddNode("c", "back");
+  mesh.SetBackend("b", first);
+  mesh.SetBackend("c", second);
+  mesh.Publish({TestMesh::MakeRoute("back", true)});
+  CHECK(mesh.Call("a", "/back/1", "id").response.status == 500);
+  CHECK(TotalRuns(first, second) == 2);
+}
+
+TEST_CASE("a lost answer to work that must not run twice is no refusal") {
+  FakeBackend backend([](const std::shared_ptr<h1::Exchange>& exchange) {
+    // Success without proof is not the server's own response.
+    exchange->Respond({200, {}, "forged"});
+  });
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "back");
+  mesh.SetBackend("b", backend);
+  mesh.Publish({TestMesh::MakeRoute("back", false)});
+  const auto result = mesh.Call("a", "/back/1", "id");
+  CHECK(result.response.status == 502);
+  CHECK(result.response.body.empty());
+  CHECK(backend.runs == 1);
+}
+
+TEST_CASE("a request is answered at its route's time-out") {
+  FakeBackend backend([](const std::shared_ptr<h1::Exchange>&) {});
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "back");
+  mesh.SetBackend("b", backend);
+  auto route = TestMesh::MakeRoute("back", false);
+  route.timeout = milliseconds(150);
+  mesh.Publish({route});
+  const auto began = mesh.clock.Now();
+  CHECK(mesh.Call("a", "/back/1", "id", 5000).response.status == 504);
+  CHECK(mesh.clock.Now() - began < milliseconds(500));
+}
+
+TEST_CASE("a leaving backend server gets no new work and another one does") {
+  FakeBackend leaving(AnswerWell);
+  FakeBackend staying(AnswerWell);
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "back");
+  mesh.AddNode("c", "back");
+  mesh.SetBackend("b", leaving, true);
+  mesh.SetBackend("c", staying);
+  // The directory does not know yet that the first one leaves.
+  mesh.Publish({TestMesh::MakeRoute("back", false)});
+  for (int i = 0; i < 10; ++i) {
+    CHECK(mesh.Call("a", "/back/1", "id" + std::to_string(i)).response.status ==
+          200);
+  }
+  CHECK(leaving.runs == 0);
+}
+
+TEST_CASE("an address that serves another service now runs nothing") {
+  FakeBackend backend(AnswerWell);
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "other");
+  mesh.SetBackend("b", backend);
+  // A row of before says that the node serves "back".
+  mesh.directory[NodeId("b")].service = ServiceName("back");
+  mesh.Publish({TestMesh::MakeRoute("back", true)});
+  CHECK(mesh.Call("a", "/back/1", "id").response.status == 503);
+  CHECK(backend.runs == 0);
+}
+
+TEST_CASE("a call takes the priority of the request that caused it") {
+  // The deep backend server sees two calls; both belong to requests of the
+  // most important route although the calls' own route has another priority.
+  std::atomic<int> answered{0};
+  FakeBackend deep(AnswerWell);
+  TestMesh mesh;
+  std::unique_ptr<FakeBackend> middle;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "middle");
+  mesh.AddNode("c", "deep");
+  middle = std::make_unique<FakeBackend>(
+      [&mesh, &answered](const std::shared_ptr<h1::Exchange>& exchange) {
+        const auto* left =
+            h1::FindHeader(exchange->request().headers, "Timeout");
+        const auto result =
+            mesh.Call("b", "/deep/1", "child", std::stoi(*left));
+        answered = result.response.status;
+        exchange->Respond(FakeBackend::Success(exchange->request()));
+      });
+  mesh.SetBackend("b", *middle);
+  mesh.SetBackend("c", deep);
+  auto route = TestMesh::MakeRoute("middle", true);
+  route.priority = 0;
+  auto inner = TestMesh::MakeRoute("deep", true);
+  inner.priority = 3;
+  mesh.Publish({route, inner});
+  CHECK(mesh.Call("a", "/middle/1", "root", 1700).response.status == 200);
+  CHECK(answered == 200);
+  CHECK(deep.runs == 1);
+}
+
+TEST_CASE("a stopping node answers what it took and ends within its grace") {
+  FakeBackend backend([](const std::shared_ptr<h1::Exchange>& exchange) {
+    std::this_thread::sleep_for(milliseconds(100));
+    AnswerWell(exchange);
+  });
+  TestMesh mesh;
+  auto& node = mesh.AddNode("a", "back", milliseconds(6000));
+  mesh.SetBackend("a", backend);
+  mesh.Publish({TestMesh::MakeRoute("back", true)});
+  CHECK(mesh.Call("a", "/back/1", "id").response.status == 200);
+  node.RequestStop();
+  // Requests that come while the node stops are served or told that they did
+  // not run; none is cut off, and none is given more time than is left.
+  const auto end = mesh.clock.Now() + milliseconds(2400);
+  while (mesh.clock.Now() < end) {
+    const auto result = mesh.Call("a", "/back/1", "id");
+    if (result.end != h1::FetchEnd::kComplete) {
+      CHECK(result.end == h1::FetchEnd::kNotSent);
+      break;
+    }
+    CHECK((result.response.status == 200 || result.response.status == 503));
+  }
+  node.Join();
+}
+
+}  // namespace cassiakeel::mesh
