Prefer the own zone more, gather directory changes longer

Change: another zone counts as 80 ms away instead of 25 ms; changes of the directory are gathered for 700 ms instead of 150 ms.

--- a/src/libh1/client.cc
+++ b/src/libh1/client.cc
@@ -393,7 +393,7 @@
     const auto now = this->core->timers->Now();
     const auto found = this->core->kept.find(fetch.peer);
     if (found != this->core->kept.end()) {
-      const auto newest = found->second.back();
+      auto newest = found->second.back();
       if (newest->Usable(now, fetch.max_idle)) {
         this->core->Remove(newest, fetch.peer);
         return newest;
--- a/src/libh1/h1_test.cc
+++ b/src/libh1/h1_test.cc
@@ -326,7 +326,8 @@
   const auto client = Client::Create(loop.io_context, loop.timers, {});
   auto fetch = GetFrom(loop, server.address(), "1");
   fetch.deadline = loop.clock.Now() + milliseconds(60);
-  CHECK(Run(loop, *client, std::move(fetch)).end == FetchEnd::kTimeout);
+  const auto result = Run(loop, *client, std::move(fetch));
+  CHECK(result.end == FetchEnd::kTimeout);
 }
 
 TEST_CASE("a connection kept too long is not used for work that runs once") {
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -9,7 +9,7 @@
 
 // A new policy is applied at once; a series of directory rows is gathered.
 constexpr milliseconds kPolicyPause{0};
-constexpr milliseconds kDirectoryPause{150};
+constexpr milliseconds kDirectoryPause{700};
 // Reports may come seconds late.
 constexpr int kMissedReports = 3;
 constexpr milliseconds kReportSlack{700};
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -30,7 +30,7 @@
 // Round trips to nodes of the own and of other zones, weighed against waiting:
 // the latter includes what bytes between zones cost.
 constexpr milliseconds kOwnZoneDistance{1};
-constexpr milliseconds kOtherZoneDistance{25};
+constexpr milliseconds kOtherZoneDistance{80};
 
 std::optional<std::int64_t> ParseMs(const std::string* text) {
   if (text == nullptr) {
--- a/src/libmesh/mesh_test_support.h
+++ b/src/libmesh/mesh_test_support.h
@@ -267,7 +267,9 @@
   void Wake() {
     auto waiting = std::move(this->followers);
     this->followers.clear();
-    for (auto& [after, handler] : waiting) {
+    for (const auto& entry : waiting) {
+      const auto after = entry.first;
+      const auto handler = entry.second;
       if (this->forget_history) {
         this->Answer([handler] {
           handler({StoreFault::kHistoryLost, "gone", {}});
