Serve again at once after a restart, and until clients are gone before it

Change: a node takes its backend server from its directory row, asks others to go elsewhere only 1.7 s after the request to stop, and a node that left is avoided for 0.8 s instead of 3 s. Servers that fail or refuse work cost more in the selection.

--- a/src/include/cassiakeel/mesh/backend.h
+++ b/src/include/cassiakeel/mesh/backend.h
@@ -45,6 +45,8 @@
   ServiceName service;
   InstanceId instance;
   Slots slots{1};
+  /// Time of the server's start, as in its reports.
+  std::int64_t started_at_ms = 0;
   bool leaving = false;
   friend bool operator==(const DirectoryEntry&,
                          const DirectoryEntry&) = default;
--- a/src/include/cassiakeel/mesh/backend_watch.h
+++ b/src/include/cassiakeel/mesh/backend_watch.h
@@ -25,6 +25,9 @@
 
   /// Takes a report; one that is older than what is known changes nothing.
   void OnReport(const BackendReport& report);
+  /// Takes what a predecessor of this process wrote down, unless the server has
+  /// reported already.
+  void Restore(const BackendReport& report);
   /// The server says that it is gone or goes at once.
   void OnDeparture(const InstanceId& instance);
   const LocalBackend& current() const { return this->backend; }
--- a/src/include/cassiakeel/mesh/settings.h
+++ b/src/include/cassiakeel/mesh/settings.h
@@ -24,6 +24,8 @@
   /// Service of the backend server beside this node; the caller service of all
   /// requests that begin here.
   ServiceName service;
+  /// Where that server takes requests.
+  PeerAddress backend;
   /// Where clients and the backend server of this machine send requests.
   PeerAddress outbound;
   /// Where other nodes send calls for the backend server.
--- a/src/include/cassiakeel/routing/selection.h
+++ b/src/include/cassiakeel/routing/selection.h
@@ -51,6 +51,8 @@
   /// The endpoint said that it leaves; kept until the member list says so too.
   std::optional<SteadyTime> left_at;
   RetryTokens retry_tokens;
+  /// Moving share of the answers that were failures of the backend server.
+  double failure_share = 0;
 };
 
 /// Answer latencies of a service in logarithmic buckets, with decay.
@@ -68,6 +70,10 @@
   std::map<ZoneName, std::chrono::nanoseconds> distance;
   /// Round trip to a zone that the settings do not name.
   std::chrono::nanoseconds unknown_distance{std::chrono::milliseconds(10)};
+  /// How long an endpoint is left alone after it said that it leaves.
+  std::chrono::milliseconds left_time{3000};
+  /// Bound on the doubling time of repeated ejections.
+  std::chrono::milliseconds longest_ejection{30000};
   std::vector<Endpoint> endpoints;
   std::vector<EndpointStats> stats;
   std::unordered_map<NodeId, std::size_t> index;
@@ -119,6 +125,8 @@
   WorkLength length = WorkLength::kShort;
   std::chrono::nanoseconds latency{0};
   std::optional<admission::Load> load;
+  /// The backend server failed the work or refused it.
+  bool server_failed = false;
 };
 
 /// Notes an answer. Only work that ran counts as latency, because a refusal is
--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -356,6 +356,7 @@
   result.reason = reason;
   result.retry_after = retry_after;
   result.load = this->LoadNow();
+  result.load.leaving = result.load.leaving || reason == Reason::kNoEndpoint;
   result.shed_level = this->admission.shed.level;
   return result;
 }
--- a/src/libmesh/backend_watch.cc
+++ b/src/libmesh/backend_watch.cc
@@ -53,6 +53,12 @@
   }
 }
 
+void BackendWatch::Restore(const BackendReport& report) {
+  if (this->backend.report.instance.Value().empty()) {
+    this->OnReport(report);
+  }
+}
+
 void BackendWatch::OnDeparture(const InstanceId& instance) {
   if (this->backend.report.instance != instance ||
       this->backend.report.leaving) {
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -93,6 +93,7 @@
     entry.service = backend.report.service;
     entry.instance = backend.report.instance;
     entry.slots = backend.report.slots;
+    entry.started_at_ms = backend.report.started_at_ms;
     entry.leaving = backend.report.leaving || !backend.present;
     this->registrar->Publish(entry);
   }
@@ -130,9 +131,29 @@
             "," +
             pvt::Num("version", static_cast<std::int64_t>(
                                     this->directory_rows->version())));
+    this->RestoreBackend(*directory);
     this->node.SetDirectory(std::move(directory));
   }
 
+  // A restarted node serves its backend server again before the next report.
+  // Each request names the instance expected, so that a row of a server that is
+  // gone does no harm.
+  void RestoreBackend(const Directory& directory) {
+    const auto found = directory.find(this->mesh.node);
+    if (found == directory.end() || found->second.leaving ||
+        found->second.service != this->mesh.service ||
+        this->mesh.backend.Value().empty()) {
+      return;
+    }
+    BackendReport report;
+    report.instance = found->second.instance;
+    report.service = found->second.service;
+    report.address = this->mesh.backend;
+    report.slots = found->second.slots;
+    report.started_at_ms = found->second.started_at_ms;
+    this->watch->Restore(report);
+  }
+
   MeshSettings mesh;
   ControlSettings settings;
   MeshNode& node;
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -19,6 +19,9 @@
 constexpr std::size_t kMaxKeptPerPeer = 48;
 // The least wait that lets a wave of demand pass.
 constexpr milliseconds kEntryRetryAfter{300};
+// Nodes restart within a second or two.
+constexpr milliseconds kLeftTime{800};
+constexpr milliseconds kLongestEjection{3000};
 // Time of a caller that names none.
 constexpr milliseconds kDefaultTimeout{15000};
 // After the deadline an answer may still be on its way from the other node.
@@ -265,6 +268,9 @@
     answer.reason = result.reason;
     answer.latency = now - this->sent_at;
     answer.load = result.load;
+    answer.server_failed =
+        result.reason == Reason::kServerRefused ||
+        (result.outcome == Outcome::kRan && result.response.status >= 500);
     routing::OnAnswer(pool, this->node, answer, now);
   }
 
@@ -516,6 +522,8 @@
   pool.self = this->settings.node;
   pool.distance[this->settings.zone] = kOwnZoneDistance;
   pool.unknown_distance = kOtherZoneDistance;
+  pool.left_time = kLeftTime;
+  pool.longest_ejection = kLongestEjection;
   return pool;
 }
 
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -23,10 +23,10 @@
 // Part of the grace time that is left for the end of the process.
 constexpr milliseconds kExitReserve{700};
 constexpr milliseconds kStopPoll{50};
-// A stopping node serves calls for its backend server for this long, while
-// others learn of it, and refuses them afterwards: what was accepted last still
-// has half of the usual grace time to end.
-constexpr milliseconds kServeWhileStopping{2400};
+// A stopping node serves calls for its backend server for this long, because
+// clients are sent to it until then anyway, and refuses them afterwards, so
+// that what was accepted last has time to end.
+constexpr milliseconds kServeWhileStopping{1700};
 // Later requests get no more time than this node has left, so that none is cut
 // off by its end.
 constexpr milliseconds kDispatchWhileStopping{2800};
@@ -211,7 +211,8 @@
   }
 
   void Reply(h1::Exchange& exchange, ServeResult result) {
-    result.load.leaving = result.load.leaving || this->stopping;
+    result.load.leaving =
+        result.load.leaving || this->StoppingFor(kServeWhileStopping);
     auto response = std::move(result.response);
     if (result.outcome != Outcome::kRan) {
       response = {result.outcome == Outcome::kNotRun ? 503 : 502, {}, {}};
--- a/src/libmesh/registrar.cc
+++ b/src/libmesh/registrar.cc
@@ -18,7 +18,8 @@
   return json{
       {"address", entry.address.Value()}, {"zone", entry.zone.Value()},
       {"service", entry.service.Value()}, {"instance", entry.instance.Value()},
-      {"slots", entry.slots.Value()},     {"leaving", entry.leaving}}
+      {"slots", entry.slots.Value()},     {"started", entry.started_at_ms},
+      {"leaving", entry.leaving}}
       .dump();
 }
 
@@ -33,6 +34,7 @@
     entry.service = ServiceName(row.at("service").get<std::string>());
     entry.instance = InstanceId(row.at("instance").get<std::string>());
     entry.slots = Slots(std::max(1, row.at("slots").get<int>()));
+    entry.started_at_ms = row.at("started").get<std::int64_t>();
     entry.leaving = row.at("leaving").get<bool>();
     return entry;
   } catch (const json::exception& error) {
--- a/src/librouting/pool.cc
+++ b/src/librouting/pool.cc
@@ -11,6 +11,8 @@
 
 constexpr double kExclusionShare = 0.3;
 constexpr double kEwmaWeight = 0.3;
+// About the last twenty answers count.
+constexpr double kFailureWeight = 0.05;
 constexpr nanoseconds kForgetTime = std::chrono::seconds(10);
 // Three times the median is far outside the spread of an average of
 // exponential service times; below the floor, differences are noise.
@@ -19,9 +21,7 @@
 constexpr int kSlowSamples = 2;
 constexpr int kFailuresToEject = 3;
 constexpr std::chrono::seconds kFirstEjection{1};
-constexpr std::chrono::seconds kLongestEjection{30};
 constexpr std::chrono::seconds kProbeTimeout{5};
-constexpr std::chrono::seconds kLeftTime{3};
 constexpr int kAnswersPerMedian = 16;
 
 std::size_t LengthIndex(WorkLength length) {
@@ -49,8 +49,9 @@
       LeftOutCount(pool) >= pvt::ExclusionCap(pool.endpoints.size())) {
     return;
   }
-  const auto time = std::min(
-      kLongestEjection, kFirstEjection * (1 << std::min(stats.ejections, 5)));
+  const auto time = std::min<nanoseconds>(
+      pool.longest_ejection,
+      kFirstEjection * (1 << std::min(stats.ejections, 5)));
   stats.ejected_until = now + time;
   stats.probe_sent.reset();
   ++stats.ejections;
@@ -190,11 +191,10 @@
   return stats.probe_sent && now - *stats.probe_sent < kProbeTimeout;
 }
 
-bool IsLeaving(const Endpoint& endpoint,
-               const EndpointStats& stats,
-               SteadyTime now) {
-  return endpoint.leaving ||
-         (stats.left_at && now - *stats.left_at < kLeftTime);
+bool IsLeaving(const Pool& pool, std::size_t index, SteadyTime now) {
+  const auto& stats = pool.stats[index];
+  return pool.endpoints[index].leaving ||
+         (stats.left_at && now - *stats.left_at < pool.left_time);
 }
 
 double ExpectedLatency(const Pool& pool,
@@ -265,6 +265,10 @@
       (answer.load && answer.load->leaving)) {
     stats->left_at = now;
   }
+  if (answer.outcome == Outcome::kRan || answer.server_failed) {
+    stats->failure_share += kFailureWeight * ((answer.server_failed ? 1 : 0) -
+                                              stats->failure_share);
+  }
   if (answer.outcome == Outcome::kRan) {
     stats->consecutive_failures = 0;
     AddSuccess(stats->retry_tokens);
--- a/src/librouting/pool.h
+++ b/src/librouting/pool.h
@@ -11,9 +11,7 @@
 std::size_t ExclusionCap(std::size_t total);
 
 bool IsEjected(const EndpointStats& stats, SteadyTime now);
-bool IsLeaving(const Endpoint& endpoint,
-               const EndpointStats& stats,
-               SteadyTime now);
+bool IsLeaving(const Pool& pool, std::size_t index, SteadyTime now);
 
 /// Latency to expect: the moving average, which approaches the median of the
 /// service while the endpoint is not observed.
--- a/src/librouting/selection.cc
+++ b/src/librouting/selection.cc
@@ -29,7 +29,11 @@
   return Fresh(stats, now, ttl) && request_class > stats.load.accepts;
 }
 
-// Distance + latency x (in flight + 1) / limit.
+// How much a server that fails all of its work is disliked: more than a doubled
+// latency, less than an ejection.
+constexpr double kFailureCost = 8;
+
+// (Distance + latency x (in flight + 1) / limit) x (1 + cost of failures).
 double Cost(const Pool& pool,
             std::size_t index,
             WorkLength length,
@@ -43,8 +47,9 @@
         load, static_cast<double>(stats.load.in_flight) + stats.load.queued);
     limit = std::max(1, stats.load.limit);
   }
-  return pool.distance_ns[index] +
-         pvt::ExpectedLatency(pool, stats, length, now) * (load + 1) / limit;
+  return (pool.distance_ns[index] +
+          pvt::ExpectedLatency(pool, stats, length, now) * (load + 1) / limit) *
+         (1 + kFailureCost * stats.failure_share);
 }
 
 bool WasTried(const Pool& pool,
@@ -111,7 +116,7 @@
     PairSample sample;
     for (const auto index : tier) {
       const auto& stats = pool.stats[index];
-      if (pvt::IsLeaving(pool.endpoints[index], stats, now) ||
+      if (pvt::IsLeaving(pool, index, now) ||
           WasTried(pool, index, request.tried)) {
         continue;
       }
