--- a/src/libadmission/admission_test.cc
+++ b/src/libadmission/admission_test.cc
@@ -322,4 +322,27 @@
 #endif
 }
 
+// Guards against a restarted node holding back a warm server, and against a
+// limit that falls because calls to other services are slow.
+TEST_CASE("a fixed limit starts at the ceiling and stays there") {
+  Config config;
+  config.slots = Slots(10);
+  config.ramp_time = std::chrono::nanoseconds(0);
+  config.adaptive = false;
+  SteadyTime now{std::chrono::hours(1)};
+  State state = MakeState(config, now);
+  CHECK(LoadOf(state, now).limit == 10);
+  for (std::uint64_t i = 1; i < 400; ++i) {
+    Work work;
+    work.ticket = TicketId(i);
+    work.deadline = now + std::chrono::seconds(60);
+    Offer(state, work, now);
+    now += std::chrono::milliseconds(20);
+    Completion completion;
+    completion.service_time = std::chrono::milliseconds(i < 200 ? 5 : 500);
+    Finish(state, work.ticket, completion, now);
+  }
+  CHECK(LoadOf(state, now).limit == 10);
+}
+
 }  // namespace cassiakeel::admission
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -99,6 +99,18 @@
   CHECK(watch->current().present);
 }
 
+TEST_CASE(
+    "a restarted node takes up its server until a report says otherwise") {
+  ControlLoop loop;
+  const auto watch = BackendWatch::Create(loop.timers, milliseconds(5000),
+                                          [](const LocalBackend&) {});
+  watch->Restore(Report("known", 100, 0));
+  CHECK(watch->current().present);
+  watch->OnReport(Report("successor", 200, 1));
+  watch->Restore(Report("known", 100, 0));
+  CHECK(watch->current().report.instance.Value() == "successor");
+}
+
 TEST_CASE("a follower reads anew when the store forgot its history") {
   ControlLoop loop;
   FakeStore store;
--- a/src/libmesh/mesh_test_support.h
+++ b/src/libmesh/mesh_test_support.h
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <deque>
@@ -76,7 +77,7 @@
 
   std::atomic<int> runs{0};
   PeerAddress address;
-  std::shared_ptr<h1::TimerQueue> Timers() { return this->timers; }
+  asio::io_context& Context() { return this->io_context; }
 
  private:
   asio::io_context io_context;
--- a/src/librouting/selection_test.cc
+++ b/src/librouting/selection_test.cc
@@ -309,4 +309,50 @@
 #endif
 }
 
+// Guards against a server that quickly fails half of its work drawing more of
+// it than the sound ones.
+TEST_CASE("a server that fails its work is chosen less") {
+  Pool pool = MakePool(2);
+  Rng rng(1);
+  for (int i = 0; i < 60; ++i) {
+    for (int node = 0; node < 2; ++node) {
+      const NodeId id("n" + std::to_string(node));
+      OnDispatch(pool, id, kStart);
+      auto answer = MakeAnswer(milliseconds(10));
+      answer.server_failed = node == 0 && i % 2 == 0;
+      OnAnswer(pool, id, answer, kStart);
+    }
+  }
+  for (int i = 0; i < 50; ++i) {
+    CHECK(SelectEndpoint(pool, {}, kStart, rng).endpoint == 1u);
+  }
+}
+
+// Guards against an endpoint that restarts in a second staying unused for long.
+TEST_CASE("the pool's times bound how long an endpoint is left alone") {
+  Pool pool = MakePool(2);
+  pool.left_time = milliseconds(800);
+  pool.longest_ejection = milliseconds(3000);
+  Rng rng(1);
+  Answer leaving;
+  leaving.outcome = Outcome::kNotRun;
+  leaving.reason = Reason::kLeaving;
+  OnDispatch(pool, NodeId("n0"), kStart);
+  OnAnswer(pool, NodeId("n0"), leaving, kStart);
+  const std::vector<NodeId> tried = {NodeId("n1")};
+  SelectionRequest request;
+  request.tried = tried;
+  CHECK_FALSE(SelectEndpoint(pool, request, kStart, rng).endpoint);
+  CHECK(
+      SelectEndpoint(pool, request, kStart + milliseconds(801), rng).endpoint ==
+      0u);
+  auto now = kStart + seconds(10);
+  for (int i = 0; i < 8; ++i) {
+    OnDispatch(pool, NodeId("n0"), now);
+    OnFailure(pool, NodeId("n0"), Reason::kConnectFailed, now);
+    now += seconds(4);
+  }
+  CHECK(*pool.stats[0].ejected_until <= now);
+}
+
 }  // namespace cassiakeel::routing
