Log refusals, repeats and lost answers with the attempt and what decided

Cause: only the origin's final failure was logged; why a call was refused at the node beside the server could not be found from the request's id. Change: lines call_refused, request_repeated and backend_lost with attempt id, rank, level, load; request_failed tells rank and level.

--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -39,6 +39,8 @@
   /// As the backend server was told; set while running.
   SteadyTime told_deadline;
   double child_shed_level = 0;
+  /// Id of the caller's attempt, for the log.
+  std::string attempt;
 };
 
 std::unique_ptr<BackendGate> BackendGate::Create(
@@ -142,6 +144,10 @@
   work.max_wait = milliseconds(static_cast<milliseconds::rep>(
       static_cast<double>(request.info.target_latency.count()) * kWaitShare));
   auto call = std::make_unique<Call>();
+  if (const auto* attempt =
+          h1::FindHeader(request.request.headers, this->fields.attempt_id)) {
+    call->attempt = *attempt;
+  }
   call->request = std::move(request);
   call->handler = std::move(handler);
   this->calls.emplace(id, std::move(call));
@@ -181,12 +187,30 @@
       this->Start(id);
     } else {
       Count(this->statistics.gate_refusals, decision.reason);
+      this->LogRefusal(*this->calls.at(id), decision.reason);
       this->Finish(id, this->Refusal(decision.reason, decision.retry_after));
     }
   }
   this->Arm();
 }
 
+void BackendGate::LogRefusal(const Call& call, Reason reason) const {
+  if (!this->log.Admit()) {
+    return;
+  }
+  const auto load = this->LoadNow();
+  this->log.Write(
+      "call_refused",
+      Text("attempt", call.attempt) + "," +
+          Text("route", call.request.info.route) + "," +
+          Text("reason", ReasonName(reason)) + "," +
+          Num("priority", call.request.info.priority) + "," +
+          Num("rank_permille", Permille(call.request.info.tree_rank)) + "," +
+          Num("level_permille", Permille(this->admission.shed.level)) + "," +
+          Num("in_flight", load.in_flight) + "," + Num("limit", load.limit) +
+          "," + Num("queued", load.queued));
+}
+
 void BackendGate::Start(ServeId id) {
   auto& call = *this->calls.at(id);
   const auto now = this->timers->Now();
@@ -199,11 +223,9 @@
   fetch.peer = this->backend.report.address;
   fetch.request = std::move(call.request.request);
   fetch.deadline = call.request.deadline + kAnswerSlack;
-  fetch.echo_field = this->fields.attempt_id;
+  fetch.echo_field = call.attempt.empty() ? "" : this->fields.attempt_id;
+  fetch.echo_value = call.attempt;
   auto& headers = fetch.request.headers;
-  if (const auto* attempt = h1::FindHeader(headers, this->fields.attempt_id)) {
-    fetch.echo_value = *attempt;
-  }
   headers.emplace_back(this->fields.timeout_ms, std::to_string(left.count()));
   headers.emplace_back(this->fields.expected_instance,
                        this->backend.report.instance.Value());
@@ -263,7 +285,8 @@
                         : Reason::kConnectionLost;
     this->log.Request(
         "backend_lost",
-        Text("attempt", call.request.info.route) + "," +
+        Text("attempt", call.attempt) + "," +
+            Text("route", call.request.info.route) + "," +
             Text("instance", this->backend.report.instance.Value()) + "," +
             Text("cause", fetch.message));
     return result;
--- a/src/libmesh/backend_gate.h
+++ b/src/libmesh/backend_gate.h
@@ -84,6 +84,7 @@
   std::unique_ptr<Call> Extract(ServeId id);
   ServeResult Refusal(Reason reason,
                       std::chrono::milliseconds retry_after) const;
+  void LogRefusal(const Call& call, Reason reason) const;
   void Arm();
 
   std::shared_ptr<h1::TimerQueue> timers;
--- a/src/libmesh/decision_log.cc
+++ b/src/libmesh/decision_log.cc
@@ -54,6 +54,10 @@
              .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::int64_t Permille(double share) {
+  return static_cast<std::int64_t>(share * 1000);
+}
+
 std::string Num(std::string_view name, std::int64_t value) {
   return "\"" + std::string(name) + "\":" + std::to_string(value);
 }
--- a/src/libmesh/decision_log.h
+++ b/src/libmesh/decision_log.h
@@ -38,6 +38,8 @@
 
 /// `"name":"value"` with the value escaped.
 std::string Text(std::string_view name, std::string_view value);
+/// A share in thousandths, for `Num`.
+std::int64_t Permille(double share);
 /// `"name":value`.
 std::string Num(std::string_view name, std::int64_t value);
 
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -331,6 +331,13 @@
       return false;
     }
     ++this->owner.statistics.repeats;
+    if (this->owner.log.Admit()) {
+      this->owner.log.Write("request_repeated",
+                            Text("attempt", this->attempt_id) + "," +
+                                Text("route", this->route.name.Value()) + "," +
+                                Text("failed_at", this->node.Value()) + "," +
+                                Num("arrivals", this->arrivals));
+    }
     return true;
   }
 
@@ -370,19 +377,7 @@
   void Refuse(Reason reason) {
     Count(this->owner.statistics.failures, reason);
     const auto now = this->owner.timers->Now();
-    this->owner.log.Request(
-        "request_failed",
-        Text("attempt", this->attempt_id) + "," +
-            Text("route", this->route.name.Value()) + "," +
-            Text("service", this->service.Value()) + "," +
-            Text("node", this->node.Value()) + "," +
-            Text("reason", ReasonName(reason)) + "," +
-            Num("ran", static_cast<int>(this->may_have_run)) + "," +
-            Num("reroutes", this->reroutes) + "," +
-            Num("arrivals", this->arrivals) + "," +
-            Num("age_ms", (now - this->received) / milliseconds(1)) + "," +
-            Num("policy",
-                static_cast<std::int64_t>(this->policy->version().Value())));
+    this->LogFailure(reason, now);
     if (this->fallback) {
       this->Answer(std::move(*this->fallback));
       return;
@@ -401,6 +396,30 @@
     this->Answer(std::move(response));
   }
 
+  void LogFailure(Reason reason, SteadyTime now) {
+    if (!this->owner.log.Admit()) {
+      return;
+    }
+    const double level =
+        this->owner.entry_levels.LevelOf(this->route.name.Value(), now);
+    this->owner.log.Write(
+        "request_failed",
+        Text("attempt", this->attempt_id) + "," +
+            Text("route", this->route.name.Value()) + "," +
+            Text("service", this->service.Value()) + "," +
+            Text("node", this->node.Value()) + "," +
+            Text("reason", ReasonName(reason)) + "," +
+            Num("ran", static_cast<int>(this->may_have_run)) + "," +
+            Num("called", static_cast<int>(this->parent.has_value())) + "," +
+            Num("reroutes", this->reroutes) + "," +
+            Num("arrivals", this->arrivals) + "," +
+            Num("rank_permille", Permille(this->tree_rank)) + "," +
+            Num("level_permille", Permille(level)) + "," +
+            Num("age_ms", (now - this->received) / milliseconds(1)) + "," +
+            Num("policy",
+                static_cast<std::int64_t>(this->policy->version().Value())));
+  }
+
   void Answer(h1::Response response) {
     if (this->done) {
       return;
