--- a/src/libnode/node_test.cc
+++ b/src/libnode/node_test.cc
@@ -46,7 +46,7 @@
 
 // Guards against a setting that the page for operators does not list.
 TEST_CASE("every setting is in the settings reference") {
-  std::ifstream stream(CASSIAKEEL_SOURCE "/docs/operations.md");
+  std::ifstream stream(CASSIAKEEL_SOURCE "/docs/OPERATIONS.md");
   const std::string page((std::istreambuf_iterator<char>(stream)), {});
   const auto parsed = Parse({"--help"});
   REQUIRE(parsed);
