Learn from other nodes that the store has something newer; add the soak

Change: calls and results carry the versions of policy and directory; a node that lacks one for 0.5 s reads the table anew on another connection.

--- a/src/include/cassiakeel/mesh/call.h
+++ b/src/include/cassiakeel/mesh/call.h
@@ -30,6 +30,15 @@
   std::string caller_service;
 };
 
+/// Versions of the control state that a node has. They travel with calls and
+/// results, so that a node whose connection to the store went silent learns
+/// that there is something newer.
+struct StateVersions {
+  std::uint64_t policy = 0;
+  /// Highest version of a row in the directory.
+  std::uint64_t directory = 0;
+};
+
 /// What the node beside a backend server has to know of a call.
 struct CallInfo {
   ServiceName service;
@@ -44,6 +53,7 @@
   std::chrono::milliseconds target_latency{1000};
   /// Not the first arrival of this request at a backend server.
   bool repeat = false;
+  StateVersions sender;
 };
 
 /// A call at the node beside its backend server.
@@ -68,6 +78,7 @@
   /// caused; work below this position does not finish (see ShedPosition).
   double shed_level = 0;
   std::chrono::nanoseconds service_time{0};
+  StateVersions sender;
 };
 
 /// Class of a route's rank, 0 for the most important.
--- a/src/include/cassiakeel/mesh/control.h
+++ b/src/include/cassiakeel/mesh/control.h
@@ -48,6 +48,8 @@
   /// Takes a report of the backend server; `applied` runs once a leaving server
   /// gets no new work, possibly on another thread.
   void OnReport(const BackendReport& report, std::function<void()> applied);
+  /// Another node has these versions of the control state.
+  void OnPeerVersions(const StateVersions& peer);
   void OnDeparture(const InstanceId& instance, std::function<void()> applied);
 
  private:
--- a/src/include/cassiakeel/mesh/node.h
+++ b/src/include/cassiakeel/mesh/node.h
@@ -28,7 +28,11 @@
 
   void Start();
   void SetPolicy(std::shared_ptr<const TrafficPolicy> policy);
-  void SetDirectory(std::shared_ptr<const Directory> directory);
+  void SetDirectory(std::shared_ptr<const Directory> directory,
+                    std::uint64_t version);
+  /// `handler` runs on the traffic thread when another node turns out to have
+  /// newer state. Call before `Start`.
+  void OnNews(std::function<void(const StateVersions&)> handler);
   /// `applied` runs on the traffic thread once no new work of before can start.
   void SetBackend(LocalBackend backend, std::function<void()> applied = {});
   /// Leaves without cutting off a request: not ready from now on, ends when
--- a/src/include/cassiakeel/mesh/settings.h
+++ b/src/include/cassiakeel/mesh/settings.h
@@ -30,6 +30,9 @@
   PeerAddress outbound;
   /// Where other nodes send calls for the backend server.
   PeerAddress inbound;
+  /// What the directory tells others of it, where that differs; empty for
+  /// `inbound`.
+  PeerAddress advertised;
   /// Readiness for the deployment.
   PeerAddress ready;
   std::string ready_path = "/ready";
--- a/src/include/cassiakeel/mesh/table_follower.h
+++ b/src/include/cassiakeel/mesh/table_follower.h
@@ -33,6 +33,9 @@
       LinkHandler on_link);
 
   void Start();
+  /// Another node has seen a row version of this table that this copy may lack.
+  /// Unless it arrives shortly, the table is read anew on another connection.
+  void Expect(std::function<bool()> behind);
   bool loaded() const { return this->has_loaded; }
   bool connected() const { return this->link_up; }
   const RowMap& rows() const { return this->copy; }
@@ -58,6 +61,9 @@
   bool has_loaded = false;
   bool link_up = true;
   int faults = 0;
+  /// Answers to calls of an earlier generation are dropped.
+  int generation = 0;
+  bool expecting = false;
   Rng rng;
 };
 
--- a/src/libmesh/call.cc
+++ b/src/libmesh/call.cc
@@ -91,16 +91,18 @@
               std::to_string(static_cast<int>(info.idempotent)),
               std::to_string(info.target_latency.count()),
               std::to_string(static_cast<int>(info.repeat)),
-              Scaled(info.tree_rank));
+              Scaled(info.tree_rank), std::to_string(info.sender.policy),
+              std::to_string(info.sender.directory));
 }
 
 Result<CallInfo> ParseCall(const std::string& text) {
   const auto parts = Split(text);
-  const auto numbers = Numbers<5>(parts, 3);
+  const auto numbers = Numbers<7>(parts, 3);
   if (!numbers) {
     return Fail("parse call", "malformed field " + text);
   }
-  const auto& [priority, idempotent, target, repeat, rank] = *numbers;
+  const auto& [priority, idempotent, target, repeat, rank, policy, directory] =
+      *numbers;
   return CallInfo{ServiceName(std::string(parts[0])),
                   ServiceName(std::string(parts[1])),
                   std::string(parts[2]),
@@ -108,7 +110,9 @@
                   Unscaled(rank),
                   idempotent != 0,
                   std::chrono::milliseconds(target),
-                  repeat != 0};
+                  repeat != 0,
+                  {static_cast<std::uint64_t>(policy),
+                   static_cast<std::uint64_t>(directory)}};
 }
 
 std::string FormatResult(const ServeResult& result) {
@@ -122,11 +126,12 @@
               std::to_string(static_cast<int>(result.load.accepts)),
               std::to_string(static_cast<int>(result.load.leaving)),
               std::to_string(result.service_time.count() / 1000),
-              Scaled(result.shed_level));
+              Scaled(result.shed_level), std::to_string(result.sender.policy),
+              std::to_string(result.sender.directory));
 }
 
 Result<ServeResult> ParseResult(const std::string& text) {
-  const auto numbers = Numbers<11>(Split(text), 0);
+  const auto numbers = Numbers<13>(Split(text), 0);
   if (!numbers) {
     return Fail("parse result", "malformed field " + text);
   }
@@ -152,6 +157,8 @@
   result.load.leaving = n[8] != 0;
   result.service_time = std::chrono::microseconds(n[9]);
   result.shed_level = Unscaled(n[10]);
+  result.sender = {static_cast<std::uint64_t>(n[11]),
+                   static_cast<std::uint64_t>(n[12])};
   return result;
 }
 
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -1,5 +1,7 @@
 #include "cassiakeel/mesh/control.h"
 
+#include <algorithm>
+
 #include "decision_log.h"
 
 namespace cassiakeel::mesh {
@@ -62,6 +64,19 @@
     this->RunApplied();
   }
 
+  void OnPeerVersions(const StateVersions& peer) {
+    if (peer.policy > this->policy_version.Value()) {
+      this->policy_rows->Expect([this, wanted = peer.policy] {
+        return this->policy_version.Value() < wanted;
+      });
+    }
+    if (peer.directory > this->directory_version) {
+      this->directory_rows->Expect([this, wanted = peer.directory] {
+        return this->directory_version < wanted;
+      });
+    }
+  }
+
  private:
   TableFollower::LinkHandler LinkLogger(const std::string& table) {
     return [this, table](bool up, const std::string& cause) {
@@ -88,7 +103,9 @@
     this->node.SetBackend(backend, std::exchange(this->on_applied, nullptr));
     DirectoryEntry entry;
     entry.node = this->mesh.node;
-    entry.address = this->mesh.inbound;
+    entry.address = this->mesh.advertised.Value().empty()
+                        ? this->mesh.inbound
+                        : this->mesh.advertised;
     entry.zone = this->mesh.zone;
     entry.service = backend.report.service;
     entry.instance = backend.report.instance;
@@ -131,8 +148,11 @@
             "," +
             pvt::Num("version", static_cast<std::int64_t>(
                                     this->directory_rows->version())));
+    for (const auto& [key, row] : rows) {
+      this->directory_version = std::max(this->directory_version, row.version);
+    }
     this->RestoreBackend(*directory);
-    this->node.SetDirectory(std::move(directory));
+    this->node.SetDirectory(std::move(directory), this->directory_version);
   }
 
   // A restarted node serves its backend server again before the next report.
@@ -164,6 +184,7 @@
   std::shared_ptr<TableFollower> policy_rows;
   std::shared_ptr<TableFollower> directory_rows;
   PolicyVersion policy_version;
+  std::uint64_t directory_version = 0;
   std::function<void()> on_applied;
 };
 
@@ -193,6 +214,10 @@
   this->impl->OnReport(report, std::move(applied));
 }
 
+void MeshControl::OnPeerVersions(const StateVersions& peer) {
+  this->impl->OnPeerVersions(peer);
+}
+
 void MeshControl::OnDeparture(const InstanceId& instance,
                               std::function<void()> applied) {
   this->impl->OnDeparture(instance, std::move(applied));
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -131,6 +131,30 @@
   CHECK(seen.contains("b"));
 }
 
+TEST_CASE(
+    "a follower whose call went silent reads anew when others know more") {
+  ControlLoop loop;
+  FakeStore store;
+  store.Put("a", "1");
+  RowMap seen;
+  const auto follower = TableFollower::Create(
+      store, loop.timers, "t", milliseconds(0),
+      [&seen](const RowMap& rows) { seen = rows; },
+      [](bool, const std::string&) {});
+  follower->Start();
+  loop.RunFor(milliseconds(20), store);
+  store.silent = true;
+  store.Put("b", "2");
+  loop.RunFor(milliseconds(50), store);
+  CHECK(seen.size() == 1);
+  store.silent = false;
+  follower->Expect([&seen] { return seen.size() < 2; });
+  follower->Expect([&seen] { return seen.size() < 2; });
+  loop.RunFor(milliseconds(700), store);
+  CHECK(seen.size() == 2);
+  CHECK(store.reads == 2);
+}
+
 TEST_CASE("a follower outlives an outage and tells of it once") {
   ControlLoop loop;
   FakeStore store;
@@ -273,7 +297,7 @@
   CHECK(parsed->shed_level == Approx(1.5));
   CHECK(parsed->load.limit == 9);
   CHECK_FALSE(ParseCall("a|b"));
-  CHECK_FALSE(ParseResult("9|0|0|0|0|0|0|0|0|0|0"));
+  CHECK_FALSE(ParseResult("9|0|0|0|0|0|0|0|0|0|0|0|0"));
 }
 
 TEST_CASE("the longest prefix wins and weights divide the requests") {
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -157,7 +157,8 @@
                   this->tree_rank,
                   this->route.idempotent,
                   this->route.target_latency,
-                  this->arrivals > 0 || (this->parent && this->parent->repeat)};
+                  this->arrivals > 0 || (this->parent && this->parent->repeat),
+                  this->owner.versions};
     if (this->node == this->owner.settings.node) {
       this->SendLocally(std::move(info));
     } else {
@@ -256,6 +257,9 @@
       this->owner.entry_levels.Note(this->route.name.Value(), result.shed_level,
                                     now);
     }
+    if (this->owner.on_peer_versions) {
+      this->owner.on_peer_versions(result.sender);
+    }
     const bool failed = result.reason == Reason::kConnectFailed ||
                         result.reason == Reason::kConnectionLost ||
                         result.reason == Reason::kTimeout;
--- a/src/libmesh/dispatcher.h
+++ b/src/libmesh/dispatcher.h
@@ -36,6 +36,11 @@
 
   void SetPolicy(std::shared_ptr<const TrafficPolicy> next);
   void SetDirectory(std::shared_ptr<const Directory> next);
+  void SetVersions(const StateVersions& next) { this->versions = next; }
+  /// Called with the versions that other nodes have.
+  void OnPeerVersions(std::function<void(const StateVersions&)> handler) {
+    this->on_peer_versions = std::move(handler);
+  }
   /// A request of a client or of the backend server beside this node. With
   /// `latest_end`, it is refused unless its target latency ends before that,
   /// and given no more time.
@@ -66,6 +71,8 @@
   std::shared_ptr<const TrafficPolicy> policy;
   std::shared_ptr<const Directory> directory;
   std::unordered_map<ServiceName, routing::Pool> pools;
+  StateVersions versions;
+  std::function<void(const StateVersions&)> on_peer_versions;
   RetryQuota quota;
   EntryLevels entry_levels;
   Rng rng;
--- a/src/libmesh/mesh_test_support.h
+++ b/src/libmesh/mesh_test_support.h
@@ -143,7 +143,7 @@
     const auto entries = std::make_shared<const Directory>(this->directory);
     for (const auto& [name, node] : this->nodes) {
       node->SetPolicy(policy);
-      node->SetDirectory(entries);
+      node->SetDirectory(entries, 1);
     }
   }
 
@@ -266,6 +266,11 @@
 
   /// Ends the calls that wait for changes.
   void Wake() {
+    if (this->silent) {
+      // Calls that wait now are never answered.
+      this->followers.clear();
+      return;
+    }
     auto waiting = std::move(this->followers);
     this->followers.clear();
     for (const auto& entry : waiting) {
@@ -309,6 +314,7 @@
   int writes = 0;
   int lose_writes = 0;
   bool down = false;
+  bool silent = false;
   bool forget_history = false;
   std::vector<std::function<void()>> late_writes;
 
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -117,6 +117,8 @@
 
   void SetPolicy(std::shared_ptr<const TrafficPolicy> next) {
     this->policy = next;
+    this->versions.policy = next->version().Value();
+    this->dispatcher->SetVersions(this->versions);
     const auto& limits = next->limits();
     this->client_limits.message = {limits.header_bytes, limits.body_bytes};
     this->client_limits.header_timeout = limits.header_timeout;
@@ -124,7 +126,16 @@
     this->dispatcher->SetPolicy(std::move(next));
   }
 
-  void SetDirectory(std::shared_ptr<const Directory> next) {
+  void OnNews(std::function<void(const StateVersions&)> handler) {
+    this->on_news = std::move(handler);
+    this->dispatcher->OnPeerVersions(
+        [this](const StateVersions& peer) { this->NotePeer(peer); });
+  }
+
+  void SetDirectory(std::shared_ptr<const Directory> next,
+                    std::uint64_t version) {
+    this->versions.directory = version;
+    this->dispatcher->SetVersions(this->versions);
     this->directory_size = next->size();
     this->has_directory = true;
     this->dispatcher->SetDirectory(std::move(next));
@@ -154,6 +165,20 @@
   pvt::BackendGate& gate_ref() { return *this->gate; }
 
  private:
+  // Tells the control thread once of each version that this node lacks.
+  void NotePeer(const StateVersions& peer) {
+    if (peer.policy <= std::max(this->versions.policy, this->told.policy) &&
+        peer.directory <=
+            std::max(this->versions.directory, this->told.directory)) {
+      return;
+    }
+    this->told.policy = std::max(this->told.policy, peer.policy);
+    this->told.directory = std::max(this->told.directory, peer.directory);
+    if (this->on_news) {
+      this->on_news(this->told);
+    }
+  }
+
   bool StoppingFor(milliseconds time) const {
     return this->stopping && this->clock.Now() - this->stop_began >= time;
   }
@@ -189,6 +214,7 @@
       exchange->Respond({400, {}, {}}, true);
       return;
     }
+    this->NotePeer(info->sender);
     ServeRequest serve;
     serve.info = *info;
     serve.deadline = exchange->received() + milliseconds(*timeout);
@@ -213,6 +239,7 @@
   void Reply(h1::Exchange& exchange, ServeResult result) {
     result.load.leaving =
         result.load.leaving || this->StoppingFor(kServeWhileStopping);
+    result.sender = this->versions;
     auto response = std::move(result.response);
     if (result.outcome != Outcome::kRan) {
       response = {result.outcome == Outcome::kNotRun ? 503 : 502, {}, {}};
@@ -263,6 +290,9 @@
   std::unique_ptr<h1::Server> inbound;
   std::unique_ptr<h1::Server> ready;
   std::shared_ptr<const TrafficPolicy> policy;
+  StateVersions versions;
+  StateVersions told;
+  std::function<void(const StateVersions&)> on_news;
   std::size_t directory_size = 0;
   bool has_directory = false;
   bool stopping = false;
@@ -294,10 +324,14 @@
   });
 }
 
-void MeshNode::SetDirectory(std::shared_ptr<const Directory> directory) {
-  this->impl->Post([impl = this->impl.get(), directory = std::move(directory)] {
-    impl->SetDirectory(directory);
-  });
+void MeshNode::SetDirectory(std::shared_ptr<const Directory> directory,
+                            std::uint64_t version) {
+  this->impl->Post([impl = this->impl.get(), directory = std::move(directory),
+                    version] { impl->SetDirectory(directory, version); });
+}
+
+void MeshNode::OnNews(std::function<void(const StateVersions&)> handler) {
+  this->impl->OnNews(std::move(handler));
 }
 
 void MeshNode::SetBackend(LocalBackend backend, std::function<void()> applied) {
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -11,6 +11,8 @@
 // Longest wait of one call for changes. A connection that went silent is found
 // by keep-alive probes, not by this.
 constexpr milliseconds kFollowWait{25000};
+// News spread through the store within this time of each other.
+constexpr milliseconds kNewsDelay{500};
 constexpr milliseconds kFirstBackoff{60};
 constexpr milliseconds kLongestBackoff{1000};
 
@@ -40,18 +42,41 @@
 
 void TableFollower::Read() {
   this->store->Read(this->table,
-                    [self = this->shared_from_this()](StoreReply reply) {
-                      self->OnRead(std::move(reply));
+                    [self = this->shared_from_this(),
+                     current = this->generation](StoreReply reply) {
+                      if (current == self->generation) {
+                        self->OnRead(std::move(reply));
+                      }
                     });
 }
 
 void TableFollower::Follow() {
   this->store->Follow(this->table, this->seen_version, kFollowWait,
-                      [self = this->shared_from_this()](StoreReply reply) {
-                        self->OnChanges(std::move(reply));
+                      [self = this->shared_from_this(),
+                       current = this->generation](StoreReply reply) {
+                        if (current == self->generation) {
+                          self->OnChanges(std::move(reply));
+                        }
                       });
 }
 
+void TableFollower::Expect(std::function<bool()> behind) {
+  if (this->expecting) {
+    return;
+  }
+  this->expecting = true;
+  this->timers->Add(
+      this->timers->Now() + kNewsDelay + this->pause,
+      [self = this->shared_from_this(), behind = std::move(behind)] {
+        self->expecting = false;
+        // While the store is lost, the usual attempts go on.
+        if (self->has_loaded && self->link_up && behind()) {
+          ++self->generation;
+          self->Read();
+        }
+      });
+}
+
 void TableFollower::OnRead(StoreReply reply) {
   if (reply.fault != StoreFault::kNone) {
     this->OnFault(reply);
@@ -98,8 +123,13 @@
     return;
   }
   this->on_change(this->copy);
-  this->timers->Add(this->timers->Now() + this->pause,
-                    [self = this->shared_from_this()] { self->Follow(); });
+  this->timers->Add(
+      this->timers->Now() + this->pause,
+      [self = this->shared_from_this(), current = this->generation] {
+        if (current == self->generation) {
+          self->Follow();
+        }
+      });
 }
 
 void TableFollower::NoteUp() {
@@ -119,14 +149,18 @@
   const auto bound =
       std::min(kLongestBackoff, kFirstBackoff * (1 << doublings));
   const auto wait = bound / 2 + FullJitter(bound / 2, this->rng);
-  this->timers->Add(this->timers->Now() + wait,
-                    [self = this->shared_from_this()] {
-                      if (self->has_loaded) {
-                        self->Follow();
-                      } else {
-                        self->Read();
-                      }
-                    });
+  this->timers->Add(
+      this->timers->Now() + wait,
+      [self = this->shared_from_this(), current = this->generation] {
+        if (current != self->generation) {
+          return;
+        }
+        if (self->has_loaded) {
+          self->Follow();
+        } else {
+          self->Read();
+        }
+      });
 }
 
 }  // namespace cassiakeel::mesh
--- /dev/null
+++ b/testsuite/harness/soak_world.py
@@ -0,0 +1,293 @@
+"""Stand-ins of the soak: the shared store, backend servers, a faulty proxy."""
+
+import asyncio
+import base64
+import json
+import time
+import urllib.parse
+
+DRAIN_S = 2.0
+
+
+async def read_message(reader):
+    """Returns (first line, headers, body), or None at the end of the stream."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError, OSError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.lower()] = value.strip()
+    try:
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+    except (asyncio.IncompleteReadError, ConnectionError, OSError):
+        return None
+    return lines[0], headers, body
+
+
+def response(status, body=b"", fields=None):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (fields or {}).items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Server:
+    """An HTTP server; `answer(line, headers, body)` returns bytes, or None to
+    reset the connection."""
+
+    def __init__(self, address, answer):
+        self.host, port = address.split(":")
+        self.port = int(port)
+        self.answer = answer
+        self.server = None
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.host, self.port)
+
+    async def stop(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while message := await read_message(reader):
+                answer = await self.answer(*message)
+                if answer is None:
+                    writer.transport.abort()
+                    return
+                writer.write(answer)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+
+class Store:
+    """The platform's store as far as the nodes use it. `mode` is up, down,
+    silent or late; late writes take effect after two seconds, unanswered."""
+
+    def __init__(self, address):
+        self.server = Server(address, self.answer)
+        self.rows = {}
+        self.version = 0
+        self.mode = "up"
+        self.oldest = 0
+        self.changed = asyncio.Condition()
+
+    async def put(self, table, key, value):
+        async with self.changed:
+            self.version += 1
+            self.rows[(table, key)] = (value, self.version)
+            self.changed.notify_all()
+
+    def forget_history(self):
+        self.oldest = self.version
+
+    def reply(self, table, after):
+        rows = [{"table": table, "part": "", "key": key, "rowVersion": version,
+                 "value": base64.b64encode(value).decode()}
+                for (owner, key), (value, version) in sorted(self.rows.items())
+                if owner == table and version > after]
+        return {"rows": rows, "rowVersion": self.version, "nowMs": 0,
+                "hasMore": False}
+
+    async def answer(self, line, _, body):
+        if self.mode == "down":
+            return response(503)
+        if self.mode == "silent":
+            await asyncio.sleep(3600)
+        method, target, _ = line.split(" ")
+        path, _, query = target.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query))
+        if path == "/rows-tx" and method == "POST":
+            return await self.write(json.loads(body))
+        if path == "/rows-get":
+            return response(200, json.dumps(self.reply(fields["table"], -1)).encode())
+        if path == "/rows-feed":
+            return await self.feed(fields)
+        return response(404)
+
+    async def feed(self, fields):
+        table, after = fields["table"], int(fields["after"])
+        end = time.monotonic() + int(fields["waitMs"]) / 1000
+        while True:
+            if after < self.oldest:
+                return response(410)
+            reply = self.reply(table, after)
+            left = end - time.monotonic()
+            if reply["rows"] or left <= 0:
+                return response(200, json.dumps(reply).encode())
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
+            if self.mode != "up":
+                return None
+
+    async def write(self, call):
+        late = self.mode == "late"
+        if late:
+            await asyncio.sleep(2)
+        current = [self.rows.get((row["table"], row["key"]), (b"", 0))
+                   for row in call["precondition"]]
+        holds = all(version == row["rowVersion"] for (_, version), row
+                    in zip(current, call["precondition"]))
+        if holds:
+            for row in call["writes"]:
+                await self.put(row["table"], row["key"],
+                               base64.b64decode(row["value"]))
+            for row in call["remove"]:
+                self.rows.pop((row["table"], row["key"]), None)
+        if late:
+            return None
+        if holds:
+            return response(200, json.dumps({"rowVersion": self.version}).encode())
+        rows = [{"part": "", "key": row["key"], "rowVersion": version,
+                 "value": base64.b64encode(value).decode()}
+                for (value, version), row in zip(current, call["precondition"])]
+        return response(412, json.dumps(
+            {"rows": rows, "rowVersion": self.version}).encode())
+
+
+class Backend:
+    """A backend server that records what it ran. `mode` is up, slow, failing or
+    resetting (the work runs, the connection is reset)."""
+
+    def __init__(self, name, service, address, report_address, ledger):
+        self.name = name
+        self.service = service
+        self.address = address
+        self.report_address = report_address
+        self.ledger = ledger
+        self.server = Server(address, self.answer)
+        self.mode = "up"
+        self.starts = 0
+        self.restart()
+
+    def restart(self):
+        self.starts += 1
+        self.instance = f"i-{self.name}-{self.starts}"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.confirmed_at = None
+
+    async def answer(self, line, headers, body):
+        attempt = headers.get("x-attempt-id", "")
+        if headers.get("x-expect-instance") != self.instance:
+            return response(421, fields={"X-Instance-Id": self.instance})
+        self.ledger.on_run(self, attempt, line, headers, body)
+        await asyncio.sleep(0.3 if self.mode == "slow" else 0.01)
+        if self.mode == "resetting":
+            return None
+        fields = {"X-Attempt-Id": attempt, "X-Response-Signature": self.instance}
+        status = 500 if self.mode == "failing" else 200
+        self.ledger.on_answer(attempt, status)
+        return response(status, f"{attempt}:{self.instance}".encode(), fields)
+
+    async def report(self):
+        self.sequence += 1
+        body = json.dumps({
+            "service": self.service, "address": self.address, "zone": "z",
+            "version": "v1", "slots": 4, "state": self.state,
+            "coldRemainingMs": 0, "sequence": self.sequence,
+            "born": self.born}).encode()
+        state, instance = self.state, self.instance
+        status = await post(self.report_address,
+                            f"/Instances.Heartbeat/{instance}", body)
+        if status == 200 and state == "draining" and self.instance == instance \
+                and self.confirmed_at is None:
+            self.confirmed_at = time.monotonic()
+
+
+async def exchange(address, request, timeout):
+    """Returns (status, headers, body) or None where no whole answer came, and
+    whether the connection could be opened."""
+    host, port = address.split(":")
+    try:
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(host, int(port)), 1)
+    except (OSError, asyncio.TimeoutError):
+        return None, False
+    try:
+        writer.write(request)
+        message = await asyncio.wait_for(read_message(reader), timeout)
+        if message is None:
+            return None, True
+        line, headers, body = message
+        return (int(line.split(" ")[1]), headers, body), True
+    except (OSError, asyncio.TimeoutError, ConnectionError):
+        return None, True
+    finally:
+        writer.transport.abort()
+
+
+async def post(address, path, body):
+    request = (f"POST {path} HTTP/1.1\r\nHost: {address}\r\n"
+               f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+    answer, _ = await exchange(address, request, 1)
+    return answer[0] if answer else 0
+
+
+class Proxy:
+    """Passes bytes on to `target`. `mode` is up, delayed, silent (open
+    connections and new ones hang), one_way (answers are lost) or refusing."""
+
+    def __init__(self, address, target):
+        self.host, port = address.split(":")
+        self.port = int(port)
+        self.target = target
+        self.mode = "up"
+        self.server = None
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.host, self.port)
+
+    async def stop(self):
+        self.server.close()
+        self.reset_all()
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        if self.mode == "refusing":
+            writer.transport.abort()
+            return
+        host, port = self.target.split(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        await asyncio.gather(self.pump(reader, far_writer, False),
+                             self.pump(far_reader, writer, True))
+        self.writers -= {writer, far_writer}
+
+    async def pump(self, reader, writer, back):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "silent" or (self.mode == "one_way" and back):
+                    # Lost for good, as behind a link that forgot the connection.
+                    continue
+                if self.mode == "delayed":
+                    await asyncio.sleep(0.15)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            # A peer that ended abruptly is seen as such on the other side.
+            writer.transport.abort() if reader.at_eof() is False else writer.close()
