Let a departure hold for a server that the node does not know yet

Change: the watch keeps the departed instance with its start time, from the call's body where it tells it, else by the clock of the machine. Test: 'a late report of a server that departed before is no news of it', failed before the change.

--- a/src/include/cassiakeel/mesh/backend_watch.h
+++ b/src/include/cassiakeel/mesh/backend_watch.h
@@ -20,6 +20,7 @@
   /// gone.
   static std::unique_ptr<BackendWatch> Create(
       std::shared_ptr<h1::TimerQueue> timers,
+      const Clock& clock,
       std::chrono::milliseconds silence,
       ChangeHandler on_change);
 
@@ -28,19 +29,26 @@
   /// Takes what a predecessor of this process wrote down, unless the server has
   /// reported already.
   void Restore(const BackendReport& report);
-  /// The server says that it is gone or goes at once.
-  void OnDeparture(const InstanceId& instance);
+  /// The server says that it is gone or goes at once. Holds also for one that
+  /// this node does not know yet, whose reports may still come late.
+  /// `started_at_ms` is 0 where the server did not say it.
+  void OnDeparture(const InstanceId& instance, std::int64_t started_at_ms);
   const LocalBackend& current() const { return this->backend; }
 
  private:
-  BackendWatch() = default;
+  explicit BackendWatch(const Clock& clock) : clock(clock) {}
   bool IsNews(const BackendReport& report) const;
+  bool HasDeparted(const BackendReport& report) const;
   void Arm();
 
+  const Clock& clock;
   std::shared_ptr<h1::TimerQueue> timers;
   std::chrono::milliseconds silence{0};
   ChangeHandler on_change;
   LocalBackend backend;
+  /// The instance that departed last, with the latest start that this covers.
+  InstanceId departed;
+  std::int64_t departed_start_ms = 0;
   std::optional<h1::TimerQueue::Id> timer;
 };
 
--- a/src/include/cassiakeel/mesh/control.h
+++ b/src/include/cassiakeel/mesh/control.h
@@ -50,7 +50,9 @@
   void OnReport(const BackendReport& report, std::function<void()> applied);
   /// Another node has these versions of the control state.
   void OnPeerVersions(const StateVersions& peer);
-  void OnDeparture(const InstanceId& instance, std::function<void()> applied);
+  void OnDeparture(const InstanceId& instance,
+                   std::int64_t started_at_ms,
+                   std::function<void()> applied);
 
  private:
   class Impl;
--- a/src/libmesh/backend_watch.cc
+++ b/src/libmesh/backend_watch.cc
@@ -14,9 +14,10 @@
 
 std::unique_ptr<BackendWatch> BackendWatch::Create(
     std::shared_ptr<h1::TimerQueue> timers,
+    const Clock& clock,
     std::chrono::milliseconds silence,
     ChangeHandler on_change) {
-  std::unique_ptr<BackendWatch> watch(new BackendWatch());
+  std::unique_ptr<BackendWatch> watch(new BackendWatch(clock));
   watch->timers = std::move(timers);
   watch->silence = silence;
   watch->on_change = std::move(on_change);
@@ -43,7 +44,9 @@
       report.instance == this->backend.report.instance &&
       report.started_at_ms == this->backend.report.started_at_ms;
   // A server that left does not come back without a new start.
-  next.leaving = report.leaving || (same_start && this->backend.report.leaving);
+  next.leaving = report.leaving ||
+                 (same_start && this->backend.report.leaving) ||
+                 this->HasDeparted(report);
   const bool changed =
       !this->backend.present || Differs(next, this->backend.report);
   this->backend = {true, next};
@@ -59,15 +62,32 @@
   }
 }
 
-void BackendWatch::OnDeparture(const InstanceId& instance) {
-  if (this->backend.report.instance != instance ||
-      this->backend.report.leaving) {
+void BackendWatch::OnDeparture(const InstanceId& instance,
+                               std::int64_t started_at_ms) {
+  const auto& known = this->backend.report;
+  const auto wall_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->clock.WallNow().time_since_epoch());
+  this->departed = instance;
+  if (started_at_ms > 0) {
+    this->departed_start_ms = started_at_ms;
+  } else if (known.instance == instance && known.started_at_ms > 0) {
+    this->departed_start_ms = known.started_at_ms;
+  } else {
+    // The server runs on this machine, by the same clock.
+    this->departed_start_ms = wall_ms.count();
+  }
+  if (!this->HasDeparted(known) || known.leaving) {
     return;
   }
   this->backend.report.leaving = true;
   this->on_change(this->backend);
 }
 
+bool BackendWatch::HasDeparted(const BackendReport& report) const {
+  return !this->departed.Value().empty() && report.instance == this->departed &&
+         report.started_at_ms <= this->departed_start_ms;
+}
+
 void BackendWatch::Arm() {
   if (this->timer) {
     this->timers->Cancel(*this->timer);
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -35,7 +35,7 @@
     this->registrar =
         Registrar::Create(store, timers, settings.directory_table, mesh.node);
     this->watch = BackendWatch::Create(
-        timers, settings.report_interval * kMissedReports + kReportSlack,
+        timers, clock, settings.report_interval * kMissedReports + kReportSlack,
         [this](const LocalBackend& backend) { this->OnBackend(backend); });
     this->policy_rows = TableFollower::Create(
         store, timers, settings.policy_table, kPolicyPause,
@@ -58,9 +58,11 @@
     this->RunApplied();
   }
 
-  void OnDeparture(const InstanceId& instance, std::function<void()> applied) {
+  void OnDeparture(const InstanceId& instance,
+                   std::int64_t started_at_ms,
+                   std::function<void()> applied) {
     this->on_applied = std::move(applied);
-    this->watch->OnDeparture(instance);
+    this->watch->OnDeparture(instance, started_at_ms);
     this->RunApplied();
   }
 
@@ -219,8 +221,9 @@
 }
 
 void MeshControl::OnDeparture(const InstanceId& instance,
+                              std::int64_t started_at_ms,
                               std::function<void()> applied) {
-  this->impl->OnDeparture(instance, std::move(applied));
+  this->impl->OnDeparture(instance, started_at_ms, std::move(applied));
 }
 
 }  // namespace cassiakeel::mesh
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -54,8 +54,8 @@
 
 TEST_CASE("a late report of a predecessor does not replace its successor") {
   ControlLoop loop;
-  const auto watch = BackendWatch::Create(loop.timers, milliseconds(5000),
-                                          [](const LocalBackend&) {});
+  const auto watch = BackendWatch::Create(
+      loop.timers, loop.clock, milliseconds(5000), [](const LocalBackend&) {});
   watch->OnReport(Report("old", 100, 7));
   watch->OnReport(Report("new", 200, 1));
   watch->OnReport(Report("old", 100, 8));
@@ -67,7 +67,7 @@
   ControlLoop loop;
   int changes = 0;
   const auto watch =
-      BackendWatch::Create(loop.timers, milliseconds(5000),
+      BackendWatch::Create(loop.timers, loop.clock, milliseconds(5000),
                            [&changes](const LocalBackend&) { ++changes; });
   auto leaving = Report("same", 100, 50);
   leaving.leaving = true;
@@ -79,19 +79,37 @@
 
 TEST_CASE("a server that said it leaves stays leaving for later reports") {
   ControlLoop loop;
-  const auto watch = BackendWatch::Create(loop.timers, milliseconds(5000),
-                                          [](const LocalBackend&) {});
+  const auto watch = BackendWatch::Create(
+      loop.timers, loop.clock, milliseconds(5000), [](const LocalBackend&) {});
   watch->OnReport(Report("a", 1, 1));
-  watch->OnDeparture(InstanceId("a"));
+  watch->OnDeparture(InstanceId("a"), 0);
   watch->OnReport(Report("a", 1, 2));
   CHECK(watch->current().report.leaving);
 }
 
+TEST_CASE("a late report of a server that departed before is no news of it") {
+  // The node restarted, confirmed the departure of a server that it did not
+  // know, and then got a report that had been under way.
+  ControlLoop loop;
+  const auto watch = BackendWatch::Create(
+      loop.timers, loop.clock, milliseconds(5000), [](const LocalBackend&) {});
+  watch->OnDeparture(InstanceId("a"), 0);
+  watch->OnReport(Report("a", 1000, 3));
+  CHECK(watch->current().report.leaving);
+  // A start of its own after that is another matter.
+  const auto later = std::chrono::duration_cast<milliseconds>(
+                         loop.clock.WallNow().time_since_epoch())
+                         .count() +
+                     10;
+  watch->OnReport(Report("a", later, 1));
+  CHECK_FALSE(watch->current().report.leaving);
+}
+
 TEST_CASE("a server without reports is taken as gone and comes back with one") {
   ControlLoop loop;
   FakeStore store;
-  const auto watch = BackendWatch::Create(loop.timers, milliseconds(40),
-                                          [](const LocalBackend&) {});
+  const auto watch = BackendWatch::Create(
+      loop.timers, loop.clock, milliseconds(40), [](const LocalBackend&) {});
   watch->OnReport(Report("a", 1, 1));
   loop.RunFor(milliseconds(100), store);
   CHECK_FALSE(watch->current().present);
@@ -102,8 +120,8 @@
 TEST_CASE(
     "a restarted node takes up its server until a report says otherwise") {
   ControlLoop loop;
-  const auto watch = BackendWatch::Create(loop.timers, milliseconds(5000),
-                                          [](const LocalBackend&) {});
+  const auto watch = BackendWatch::Create(
+      loop.timers, loop.clock, milliseconds(5000), [](const LocalBackend&) {});
   watch->Restore(Report("known", 100, 0));
   CHECK(watch->current().present);
   watch->OnReport(Report("successor", 200, 1));
--- a/testsuite/harness/soak.py
+++ b/testsuite/harness/soak.py
@@ -176,7 +176,10 @@
             self.ledger.on_client_answer(attempt, *answer)
         elif connected and began > node.disturbed_until \
                 and time.monotonic() > node.disturbed_until:
-            self.ledger.violate("lost", f"{attempt} at {node.name} got no answer")
+            waited = time.monotonic() - began
+            self.ledger.violate(
+                "lost", f"{attempt} at {node.name} got no answer after "
+                f"{waited * 1000:.0f} ms, ran {self.ledger.runs.get(attempt, 0)} times")
 
     async def fault(self, kind):
         node = self.rng.choice(self.nodes)
