Answer what was accepted before a stopping node closes its listeners

A connection accepted in the last moment was closed unread. Change: the node stops accepting, serves what it accepted until the next poll, then ends. Test: 'a server that accepts no more still answers what it accepted'.

--- a/src/include/cassiakeel/h1/server.h
+++ b/src/include/cassiakeel/h1/server.h
@@ -62,6 +62,8 @@
 
   /// From now on responses announce that the connection closes.
   void AnnounceClose();
+  /// Accepts no further connections; open ones are served.
+  void StopAccepting();
   /// Stops accepting, and closes connections that wait for a request.
   void Shutdown();
   /// Requests being served.
--- a/src/libh1/h1_test.cc
+++ b/src/libh1/h1_test.cc
@@ -231,6 +231,33 @@
             .find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("a server that accepts no more still answers what it accepted") {
+  Loop loop;
+  const auto server = loop.Serve([](std::shared_ptr<Exchange> exchange) {
+    exchange->Respond({200, {}, "late"});
+  });
+  tcp::socket socket(loop.io_context);
+  socket.connect(EndpointOf(loop.address));
+  loop.io_context.run_for(milliseconds(20));
+  loop.io_context.restart();
+  server->StopAccepting();
+  asio::write(socket,
+              asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
+  socket.non_blocking(true);
+  std::string received;
+  loop.RunUntil([&socket, &received] {
+    std::array<char, 1024> buffer{};
+    asio::error_code error;
+    const auto count = socket.read_some(asio::buffer(buffer), error);
+    received.append(buffer.data(), error ? 0 : count);
+    return received.find("late") != std::string::npos;
+  });
+  asio::error_code refused;
+  tcp::socket second(loop.io_context);
+  second.connect(EndpointOf(loop.address), refused);
+  CHECK(refused);
+}
+
 TEST_CASE("a late response to an earlier request is dropped") {
   Loop loop;
   RawServer server([](tcp::socket& socket) {
--- a/src/libh1/server.cc
+++ b/src/libh1/server.cc
@@ -351,10 +351,14 @@
     return true;
   }
 
-  void Shutdown() {
-    this->shared->stopped = true;
+  void StopAccepting() {
     asio::error_code ignored;
     this->acceptor.close(ignored);
+  }
+
+  void Shutdown() {
+    this->shared->stopped = true;
+    this->StopAccepting();
     const auto all = this->shared->connections;
     for (const auto& connection : all) {
       if (!connection->busy()) {
@@ -437,6 +441,10 @@
   this->impl->state()->announce_close = true;
 }
 
+void Server::StopAccepting() {
+  this->impl->StopAccepting();
+}
+
 void Server::Shutdown() {
   this->impl->Shutdown();
 }
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -263,8 +263,13 @@
     const bool idle = this->outbound->InProgress() == 0 &&
                       this->inbound->InProgress() == 0 &&
                       this->gate->InFlight() == 0;
-    if ((idle && passed >= kLeastLeavingTime) ||
-        passed >= this->settings.grace - kExitReserve) {
+    const bool may_end = idle && passed >= kLeastLeavingTime;
+    if (may_end && !this->accepting_stopped) {
+      // Requests on connections accepted just now are read until the next poll.
+      this->accepting_stopped = true;
+      this->outbound->StopAccepting();
+      this->inbound->StopAccepting();
+    } else if (may_end || passed >= this->settings.grace - kExitReserve) {
       this->outbound->Shutdown();
       this->inbound->Shutdown();
       this->ready->Shutdown();
@@ -296,6 +301,7 @@
   std::size_t directory_size = 0;
   bool has_directory = false;
   bool stopping = false;
+  bool accepting_stopped = false;
   SteadyTime stop_began;
   asio::executor_work_guard<asio::io_context::executor_type> work;
   std::thread thread;
