Split the dispatcher by job

Change: peer_result, header_values and service_pools hold these; the removal of the nodes' own fields stands once instead of twice.

--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -1,11 +1,11 @@
 #include "dispatcher.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cstdio>
 #include <random>
 
 #include "cassiakeel/base/hash.h"
+#include "header_values.h"
+#include "peer_result.h"
 
 namespace cassiakeel::mesh::pvt {
 namespace {
@@ -19,9 +19,6 @@
 constexpr std::size_t kMaxKeptPerPeer = 48;
 // The least wait that lets a wave of demand pass.
 constexpr milliseconds kEntryRetryAfter{300};
-// Nodes restart within a second or two.
-constexpr milliseconds kLeftTime{800};
-constexpr milliseconds kLongestEjection{3000};
 // Time of a caller that names none.
 constexpr milliseconds kDefaultTimeout{15000};
 // After the deadline an answer may still be on its way from the other node.
@@ -30,34 +27,6 @@
 constexpr int kMaxReroutes = 2;
 // A repeat with less of its time left hardly succeeds.
 constexpr double kLeastShareForRepeat = 0.2;
-// Round trips to nodes of the own and of other zones, weighed against waiting:
-// the latter includes what bytes between zones cost.
-constexpr milliseconds kOwnZoneDistance{1};
-constexpr milliseconds kOtherZoneDistance{80};
-
-std::optional<std::int64_t> ParseMs(const std::string* text) {
-  if (text == nullptr) {
-    return std::nullopt;
-  }
-  std::int64_t value = 0;
-  const auto* last = text->data() + text->size();
-  const auto parsed = std::from_chars(text->data(), last, value);
-  if (parsed.ec != std::errc() || value < 0) {
-    return std::nullopt;
-  }
-  return value;
-}
-
-std::string Seconds(milliseconds time) {
-  std::array<char, 32> text{};
-  std::snprintf(text.data(), text.size(), "%.3f",
-                static_cast<double>(time.count()) / 1000);
-  return text.data();
-}
-
-bool IsReroutable(Reason reason) {
-  return reason != Reason::kDeadline;
-}
 
 }  // namespace
 
@@ -89,14 +58,7 @@
             h1::FindHeader(headers, owner.settings.fields.attempt_id)) {
       this->attempt_id = *id;
     }
-    h1::RemoveConnectionFields(headers);
-    const auto& fields = owner.settings.fields;
-    std::erase_if(headers, [&fields](const auto& field) {
-      return h1::SameName(field.first, fields.timeout_ms) ||
-             h1::SameName(field.first, fields.caller_service) ||
-             h1::SameName(field.first, fields.expected_instance) ||
-             h1::SameName(field.first, kCallField);
-    });
+    RemoveHopFields(headers, owner.settings.fields);
   }
 
   void Run() {
@@ -136,7 +98,7 @@
 
   void Attempt() {
     const auto now = this->owner.timers->Now();
-    auto& pool = this->owner.PoolOf(this->service);
+    auto& pool = this->owner.pools.Of(this->service);
     const routing::SelectionRequest request{RequestClass::kCritical,
                                             WorkLength::kShort, this->tried};
     const auto selection =
@@ -196,39 +158,10 @@
         std::move(fetch),
         [self = this->shared_from_this(), number](h1::FetchResult result) {
           self->remote.reset();
-          self->OnResult(number, Decode(std::move(result)));
+          self->OnResult(number, DecodePeerResult(std::move(result)));
         });
   }
 
-  static ServeResult Decode(h1::FetchResult fetch) {
-    ServeResult result;
-    if (fetch.end == h1::FetchEnd::kNotSent) {
-      result.outcome = Outcome::kNotRun;
-      result.reason = Reason::kConnectFailed;
-      return result;
-    }
-    result.reached_backend = true;
-    result.reason = fetch.end == h1::FetchEnd::kTimeout
-                        ? Reason::kTimeout
-                        : Reason::kConnectionLost;
-    if (fetch.end != h1::FetchEnd::kComplete) {
-      return result;
-    }
-    const auto* text = h1::FindHeader(fetch.response.headers, kResultField);
-    const auto parsed = text == nullptr ? Fail("read result", "no result field")
-                                        : ParseResult(*text);
-    if (!parsed) {
-      return result;
-    }
-    result = *parsed;
-    result.response = std::move(fetch.response);
-    h1::RemoveConnectionFields(result.response.headers);
-    std::erase_if(result.response.headers, [](const auto& field) {
-      return h1::SameName(field.first, kResultField);
-    });
-    return result;
-  }
-
   void OnResult(int number, ServeResult result) {
     if (this->done || number != this->sends) {
       return;
@@ -247,7 +180,7 @@
   // Tells the selection what the attempt showed.
   void Observe(const ServeResult& result) {
     const auto now = this->owner.timers->Now();
-    auto& pool = this->owner.PoolOf(this->service);
+    auto& pool = this->owner.pools.Of(this->service);
     if (result.reached_backend && this->arrivals++ == 0) {
       this->owner.quota.NoteFirst(this->service, now);
     }
@@ -294,7 +227,7 @@
   void OnRefused(const ServeResult& result) {
     const auto now = this->owner.timers->Now();
     this->retry_after = std::max(this->retry_after, result.retry_after);
-    if (IsReroutable(result.reason) && this->reroutes < kMaxReroutes &&
+    if (result.reason != Reason::kDeadline && this->reroutes < kMaxReroutes &&
         now < this->deadline) {
       ++this->reroutes;
       ++this->owner.statistics.reroutes;
@@ -365,13 +298,13 @@
     if (this->remote) {
       this->owner.client->Cancel(*this->remote);
       this->remote.reset();
-      routing::OnFailure(this->owner.PoolOf(this->service), this->node,
+      routing::OnFailure(this->owner.pools.Of(this->service), this->node,
                          Reason::kCancelled, this->owner.timers->Now());
     }
     if (this->local) {
       this->owner.gate.Withdraw(*this->local);
       this->local.reset();
-      routing::OnFailure(this->owner.PoolOf(this->service), this->node,
+      routing::OnFailure(this->owner.pools.Of(this->service), this->node,
                          Reason::kCancelled, this->owner.timers->Now());
     }
   }
@@ -508,6 +441,7 @@
           io_context,
           this->timers,
           {kConnectTimeout, kPeerIdle, kDeadPeerTimeout, kMaxKeptPerPeer, {}})),
+      pools(settings.node, settings.zone),
       rng(std::random_device()()) {
   this->quota.SetBounds(settings.retry, 1);
 }
@@ -519,35 +453,8 @@
 }
 
 void Dispatcher::SetDirectory(std::shared_ptr<const Directory> next) {
-  this->directory = std::move(next);
-  this->quota.SetBounds(this->settings.retry, this->directory->size());
-  std::unordered_map<ServiceName, std::vector<routing::Endpoint>> by_service;
-  for (const auto& [node, entry] : *this->directory) {
-    by_service[entry.service].push_back(
-        {entry.node, entry.address, entry.zone, false, entry.leaving});
-  }
-  for (auto& [service, pool] : this->pools) {
-    if (!by_service.contains(service)) {
-      routing::UpdateEndpoints(pool, {});
-    }
-  }
-  for (auto& [service, endpoints] : by_service) {
-    routing::UpdateEndpoints(this->PoolOf(service), std::move(endpoints));
-  }
-}
-
-routing::Pool& Dispatcher::PoolOf(const ServiceName& service) {
-  const auto found = this->pools.find(service);
-  if (found != this->pools.end()) {
-    return found->second;
-  }
-  auto& pool = this->pools[service];
-  pool.self = this->settings.node;
-  pool.distance[this->settings.zone] = kOwnZoneDistance;
-  pool.unknown_distance = kOtherZoneDistance;
-  pool.left_time = kLeftTime;
-  pool.longest_ejection = kLongestEjection;
-  return pool;
+  this->quota.SetBounds(this->settings.retry, next->size());
+  this->pools.Update(*next);
 }
 
 void Dispatcher::Handle(std::shared_ptr<h1::Exchange> exchange,
--- a/src/libmesh/dispatcher.h
+++ b/src/libmesh/dispatcher.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include <map>
+#include <functional>
 #include <memory>
 #include <optional>
-#include <string>
-#include <unordered_map>
-#include <vector>
 
 #include "backend_gate.h"
 #include "cassiakeel/base/random.h"
@@ -13,9 +10,9 @@
 #include "cassiakeel/h1/server.h"
 #include "cassiakeel/mesh/settings.h"
 #include "cassiakeel/mesh/traffic_policy.h"
-#include "cassiakeel/routing/selection.h"
 #include "entry_level.h"
 #include "retry_quota.h"
+#include "service_pools.h"
 
 namespace cassiakeel::mesh::pvt {
 
@@ -59,9 +56,6 @@
              DecisionLog& log,
              Statistics& statistics);
 
-  routing::Pool& PoolOf(const ServiceName& service);
-  const DirectoryEntry* Find(const NodeId& node) const;
-
   std::shared_ptr<h1::TimerQueue> timers;
   const MeshSettings& settings;
   BackendGate& gate;
@@ -69,8 +63,7 @@
   Statistics& statistics;
   std::unique_ptr<h1::Client> client;
   std::shared_ptr<const TrafficPolicy> policy;
-  std::shared_ptr<const Directory> directory;
-  std::unordered_map<ServiceName, routing::Pool> pools;
+  ServicePools pools;
   StateVersions versions;
   std::function<void(const StateVersions&)> on_peer_versions;
   RetryQuota quota;
--- /dev/null
+++ b/src/libmesh/header_values.cc
@@ -0,0 +1,39 @@
+#include "header_values.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace cassiakeel::mesh::pvt {
+
+std::optional<std::int64_t> ParseMs(const std::string* text) {
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  std::int64_t value = 0;
+  const auto* last = text->data() + text->size();
+  const auto parsed = std::from_chars(text->data(), last, value);
+  if (parsed.ec != std::errc() || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string Seconds(std::chrono::milliseconds time) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                static_cast<double>(time.count()) / 1000);
+  return text.data();
+}
+
+void RemoveHopFields(h1::HeaderList& headers, const FieldNames& fields) {
+  h1::RemoveConnectionFields(headers);
+  std::erase_if(headers, [&fields](const auto& field) {
+    return h1::SameName(field.first, fields.timeout_ms) ||
+           h1::SameName(field.first, fields.caller_service) ||
+           h1::SameName(field.first, fields.expected_instance) ||
+           h1::SameName(field.first, kCallField);
+  });
+}
+
+}  // namespace cassiakeel::mesh::pvt
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -10,6 +10,7 @@
 #include "cassiakeel/h1/server.h"
 #include "decision_log.h"
 #include "dispatcher.h"
+#include "header_values.h"
 #include "metrics.h"
 
 namespace cassiakeel::mesh {
@@ -219,11 +220,7 @@
     serve.info = *info;
     serve.deadline = exchange->received() + milliseconds(*timeout);
     serve.request = std::move(request);
-    h1::RemoveConnectionFields(serve.request.headers);
-    std::erase_if(serve.request.headers, [this](const auto& field) {
-      return h1::SameName(field.first, kCallField) ||
-             h1::SameName(field.first, this->settings.fields.timeout_ms);
-    });
+    pvt::RemoveHopFields(serve.request.headers, this->settings.fields);
     const auto id = std::make_shared<std::optional<pvt::ServeId>>();
     *id = this->gate->Submit(std::move(serve),
                              [this, exchange](ServeResult result) {
