--- a/src/include/cassiakeel/h1/timer_queue.h
+++ b/src/include/cassiakeel/h1/timer_queue.h
@@ -27,8 +27,6 @@
   /// Does nothing for a timer that ran already.
   void Cancel(const Id& id);
   SteadyTime Now() const { return this->clock.Now(); }
-  /// Drops all timers.
-  void Clear();
 
  private:
   TimerQueue(asio::io_context& io_context, const Clock& clock);
--- a/src/libh1/parser.cc
+++ b/src/libh1/parser.cc
@@ -119,7 +119,6 @@
   auto& self = Of(machine);
   self.head_done = true;
   self.persistent = http_should_keep_alive(machine) != 0;
-  self.minor = machine->http_minor;
   // Protocol upgrades are not offered; the request is an ordinary one.
   machine->upgrade = 0;
   if (self.kind == Kind::kRequest) {
--- a/src/libh1/parser.h
+++ b/src/libh1/parser.h
@@ -37,7 +37,6 @@
   bool keep_alive() const { return this->persistent; }
   ParseFault fault() const { return this->failure; }
   bool expects_continue() const;
-  int http_minor() const { return this->minor; }
 
   std::string method;
   std::string target;
@@ -66,7 +65,6 @@
   bool done = false;
   bool persistent = false;
   bool no_body = false;
-  int minor = 1;
   ParseFault failure = ParseFault::kNone;
 };
 
--- a/src/libh1/timer_queue.cc
+++ b/src/libh1/timer_queue.cc
@@ -31,11 +31,6 @@
   this->entries.erase(id);
 }
 
-void TimerQueue::Clear() {
-  this->entries.clear();
-  this->timer.cancel();
-}
-
 void TimerQueue::Arm() {
   if (this->entries.empty()) {
     this->armed_for.reset();
--- a/src/libmesh/dispatcher.h
+++ b/src/libmesh/dispatcher.h
@@ -43,7 +43,6 @@
   /// and given no more time.
   void Handle(std::shared_ptr<h1::Exchange> exchange,
               std::optional<SteadyTime> latest_end = std::nullopt);
-  bool HasPolicy() const { return this->policy != nullptr; }
 
  private:
   class Call;
