--- a/src/include/cassiakeel/h1/timer_queue.h
+++ b/src/include/cassiakeel/h1/timer_queue.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "cassiakeel/base/clock.h"
 
@@ -40,4 +41,40 @@
   std::optional<SteadyTime> armed_for;
 };
 
+/// One deadline of its owner, which it does not outlive. Setting it again
+/// replaces it.
+class Timer {
+ public:
+  explicit Timer(const std::shared_ptr<TimerQueue>& queue) : queue(queue) {}
+  ~Timer() { this->Cancel(); }
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  template <typename Callback>
+  void Set(SteadyTime due, Callback callback) {
+    this->Cancel();
+    if (const auto target = this->queue.lock()) {
+      this->id = target->Add(due, [this, callback = std::move(callback)] {
+        this->id.reset();
+        callback();
+      });
+    }
+  }
+
+  void Cancel() {
+    const auto target = this->queue.lock();
+    if (target && this->id) {
+      target->Cancel(*this->id);
+    }
+    this->id.reset();
+  }
+
+  bool pending() const { return this->id.has_value(); }
+
+ private:
+  // A callback may own the timer, so the timer must not own the queue.
+  std::weak_ptr<TimerQueue> queue;
+  std::optional<TimerQueue::Id> id;
+};
+
 }  // namespace cassiakeel::h1
--- a/src/include/cassiakeel/mesh/backend_watch.h
+++ b/src/include/cassiakeel/mesh/backend_watch.h
@@ -2,7 +2,7 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
+#include <utility>
 
 #include "cassiakeel/h1/timer_queue.h"
 #include "cassiakeel/mesh/backend.h"
@@ -36,7 +36,8 @@
   const LocalBackend& current() const { return this->backend; }
 
  private:
-  explicit BackendWatch(const Clock& clock) : clock(clock) {}
+  BackendWatch(const Clock& clock, std::shared_ptr<h1::TimerQueue> timers)
+      : clock(clock), timers(std::move(timers)), timer(this->timers) {}
   bool IsNews(const BackendReport& report) const;
   bool HasDeparted(const BackendReport& report) const;
   void Arm();
@@ -49,7 +50,7 @@
   /// The instance that departed last, with the latest start that this covers.
   InstanceId departed;
   std::int64_t departed_start_ms = 0;
-  std::optional<h1::TimerQueue::Id> timer;
+  h1::Timer timer;
 };
 
 }  // namespace cassiakeel::mesh
--- a/src/libh1/client.cc
+++ b/src/libh1/client.cc
@@ -73,7 +73,9 @@
       : core(std::move(core)),
         peer(std::move(peer)),
         socket(this->core->io_context),
-        parser(pvt::Parser::Kind::kResponse, this->core->options.limits) {}
+        parser(pvt::Parser::Kind::kResponse, this->core->options.limits),
+        timeout(this->core->timers),
+        connect_timeout(this->core->timers) {}
 
   void Run(FetchId id, Fetch next, FetchHandler next_handler) {
     this->fetch_id = id;
@@ -99,7 +101,8 @@
       return;
     }
     this->closed = true;
-    this->CancelTimeout();
+    this->timeout.Cancel();
+    this->connect_timeout.Cancel();
     asio::error_code ignored;
     this->socket.close(ignored);
     this->core->Remove(this->shared_from_this(), this->peer);
@@ -125,14 +128,11 @@
       return;
     }
     pvt::SetUpSocket(this->socket, this->core->options.dead_peer_timeout);
-    this->connect_timeout = this->core->timers->Add(
+    this->connect_timeout.Set(
         this->core->timers->Now() + this->core->options.connect_timeout,
-        [weak = this->weak_from_this()] {
-          const auto self = weak.lock();
-          if (self && !self->connected) {
-            self->connect_timeout.reset();
-            self->Finish(FetchEnd::kNotSent, "connect timed out");
-          }
+        [this] {
+          const auto self = this->shared_from_this();
+          self->Finish(FetchEnd::kNotSent, "connect timed out");
         });
     this->socket.async_connect(
         *endpoint, [self = this->shared_from_this()](asio::error_code ec) {
@@ -141,10 +141,7 @@
   }
 
   void OnConnected(asio::error_code ec) {
-    if (this->connect_timeout) {
-      this->core->timers->Cancel(*this->connect_timeout);
-      this->connect_timeout.reset();
-    }
+    this->connect_timeout.Cancel();
     if (this->closed) {
       return;
     }
@@ -276,7 +273,7 @@
                         std::move(this->parser.body)},
                        {},
                        this->fresh};
-    this->CancelTimeout();
+    this->timeout.Cancel();
     this->core->running.erase(this->fetch_id);
     const auto done = std::exchange(this->handler, nullptr);
     if (reusable) {
@@ -326,14 +323,8 @@
   }
 
   void SetTimeout(SteadyTime due) {
-    this->CancelTimeout();
-    this->timeout = this->core->timers->Add(due, [weak =
-                                                      this->weak_from_this()] {
-      const auto self = weak.lock();
-      if (!self) {
-        return;
-      }
-      self->timeout.reset();
+    this->timeout.Set(due, [this] {
+      const auto self = this->shared_from_this();
       if (self->handler) {
         self->Finish(self->connected ? FetchEnd::kTimeout : FetchEnd::kNotSent,
                      "timed out");
@@ -343,13 +334,6 @@
     });
   }
 
-  void CancelTimeout() {
-    if (this->timeout) {
-      this->core->timers->Cancel(*this->timeout);
-      this->timeout.reset();
-    }
-  }
-
   std::shared_ptr<Core> core;
   PeerAddress peer;
   tcp::socket socket;
@@ -357,8 +341,8 @@
   FetchId fetch_id = 0;
   Fetch fetch;
   FetchHandler handler;
-  std::optional<TimerQueue::Id> timeout;
-  std::optional<TimerQueue::Id> connect_timeout;
+  Timer timeout;
+  Timer connect_timeout;
   SteadyTime idle_since;
   SteadyTime keep_until;
   asio::error_code write_error;
--- a/src/libh1/server.cc
+++ b/src/libh1/server.cc
@@ -1,7 +1,6 @@
 #include "cassiakeel/h1/server.h"
 
 #include <asio/ip/tcp.hpp>
-#include <optional>
 #include <set>
 
 #include "parser.h"
@@ -46,7 +45,8 @@
   Connection(tcp::socket socket, std::shared_ptr<Shared> shared)
       : socket(std::move(socket)),
         shared(std::move(shared)),
-        parser(pvt::Parser::Kind::kRequest, this->shared->limits.message) {}
+        parser(pvt::Parser::Kind::kRequest, this->shared->limits.message),
+        timeout(this->shared->timers) {}
 
   void Start() {
     pvt::SetUpSocket(this->socket, this->shared->limits.stall_timeout);
@@ -70,7 +70,7 @@
       return;
     }
     this->closed = true;
-    this->CancelTimeout();
+    this->timeout.Cancel();
     asio::error_code ignored;
     this->socket.close(ignored);
     this->EndExchange(true);
@@ -214,21 +214,10 @@
   void EndExchange(bool peer_closed);
 
   void SetTimeout(std::chrono::milliseconds after) {
-    this->CancelTimeout();
-    this->timeout = this->shared->timers->Add(
-        this->shared->timers->Now() + after, [weak = this->weak_from_this()] {
-          if (const auto self = weak.lock()) {
-            self->timeout.reset();
-            self->OnTimeout();
-          }
-        });
-  }
-
-  void CancelTimeout() {
-    if (this->timeout) {
-      this->shared->timers->Cancel(*this->timeout);
-      this->timeout.reset();
-    }
+    this->timeout.Set(this->shared->timers->Now() + after, [this] {
+      const auto self = this->shared_from_this();
+      self->OnTimeout();
+    });
   }
 
   void OnTimeout() {
@@ -247,7 +236,7 @@
   pvt::Parser parser;
   std::string ahead;
   std::shared_ptr<ServedExchange> active;
-  std::optional<TimerQueue::Id> timeout;
+  Timer timeout;
   bool waiting = false;
   bool writing = false;
   bool closed = false;
@@ -298,7 +287,7 @@
 void Connection::Serve() {
   this->keep_alive = this->parser.keep_alive();
   this->head_request = this->parser.method == "HEAD";
-  this->CancelTimeout();
+  this->timeout.Cancel();
   Request request{
       std::move(this->parser.method), std::move(this->parser.target),
       std::move(this->parser.headers), std::move(this->parser.body)};
--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -65,7 +65,8 @@
       client(h1::Client::Create(
           io_context,
           this->timers,
-          {kConnectTimeout, kIdleTimeout, kDeadPeerTimeout, 512, {}})) {}
+          {kConnectTimeout, kIdleTimeout, kDeadPeerTimeout, 512, {}})),
+      timer(this->timers) {}
 
 BackendGate::~BackendGate() = default;
 
@@ -390,15 +391,11 @@
     return;
   }
   const auto due = std::max(*next, this->timers->Now());
-  if (this->timer && this->armed_for <= due) {
+  if (this->timer.pending() && this->armed_for <= due) {
     return;
   }
-  if (this->timer) {
-    this->timers->Cancel(*this->timer);
-  }
   this->armed_for = due;
-  this->timer = this->timers->Add(due, [this] {
-    this->timer.reset();
+  this->timer.Set(due, [this] {
     this->Apply(admission::Advance(this->admission, this->timers->Now()));
   });
 }
--- a/src/libmesh/backend_gate.h
+++ b/src/libmesh/backend_gate.h
@@ -98,7 +98,7 @@
   /// Running calls by the deadline that the backend server was told.
   std::multimap<SteadyTime, ServeId> by_deadline;
   ServeId next_id = 1;
-  std::optional<h1::TimerQueue::Id> timer;
+  h1::Timer timer;
   SteadyTime armed_for;
   int connect_failures = 0;
   /// No calls before this time: the server refuses connections.
--- a/src/libmesh/backend_watch.cc
+++ b/src/libmesh/backend_watch.cc
@@ -17,8 +17,8 @@
     const Clock& clock,
     std::chrono::milliseconds silence,
     ChangeHandler on_change) {
-  std::unique_ptr<BackendWatch> watch(new BackendWatch(clock));
-  watch->timers = std::move(timers);
+  std::unique_ptr<BackendWatch> watch(
+      new BackendWatch(clock, std::move(timers)));
   watch->silence = silence;
   watch->on_change = std::move(on_change);
   return watch;
@@ -89,11 +89,7 @@
 }
 
 void BackendWatch::Arm() {
-  if (this->timer) {
-    this->timers->Cancel(*this->timer);
-  }
-  this->timer = this->timers->Add(this->timers->Now() + this->silence, [this] {
-    this->timer.reset();
+  this->timer.Set(this->timers->Now() + this->silence, [this] {
     this->backend.present = false;
     this->on_change(this->backend);
   });
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -46,7 +46,8 @@
         received(this->exchange->received()),
         caller_deadline(this->received +
                         caller_timeout.value_or(kDefaultTimeout)),
-        deadline(this->caller_deadline) {
+        deadline(this->caller_deadline),
+        timer(owner.timers) {
     if (route.timeout.count() > 0) {
       this->deadline = std::min(this->deadline, this->received + route.timeout);
     }
@@ -72,11 +73,8 @@
     this->service = DrawService(this->route, this->owner.rng);
     this->exchange->OnPeerClosed(
         [self = this->shared_from_this()] { self->OnCallerGone(); });
-    this->timer = this->owner.timers->Add(this->deadline + kAnswerSlack,
-                                          [self = this->shared_from_this()] {
-                                            self->timer.reset();
-                                            self->OnDeadline();
-                                          });
+    this->timer.Set(this->deadline + kAnswerSlack,
+                    [self = this->shared_from_this()] { self->OnDeadline(); });
     this->Attempt();
   }
 
@@ -297,16 +295,15 @@
   void CancelAttempt() {
     if (this->remote) {
       this->owner.client->Cancel(*this->remote);
-      this->remote.reset();
-      routing::OnFailure(this->owner.pools.Of(this->service), this->node,
-                         Reason::kCancelled, this->owner.timers->Now());
-    }
-    if (this->local) {
+    } else if (this->local) {
       this->owner.gate.Withdraw(*this->local);
-      this->local.reset();
-      routing::OnFailure(this->owner.pools.Of(this->service), this->node,
-                         Reason::kCancelled, this->owner.timers->Now());
+    } else {
+      return;
     }
+    this->remote.reset();
+    this->local.reset();
+    routing::OnFailure(this->owner.pools.Of(this->service), this->node,
+                       Reason::kCancelled, this->owner.timers->Now());
   }
 
   // Final answer without a response of a backend server, or with the failure
@@ -378,10 +375,7 @@
 
   void End() {
     this->done = true;
-    if (this->timer) {
-      this->owner.timers->Cancel(*this->timer);
-      this->timer.reset();
-    }
+    this->timer.Cancel();
     this->exchange->OnPeerClosed(nullptr);
   }
 
@@ -402,7 +396,7 @@
   NodeId node;
   std::vector<NodeId> tried;
   SteadyTime sent_at;
-  std::optional<h1::TimerQueue::Id> timer;
+  h1::Timer timer;
   std::optional<h1::FetchId> remote;
   std::optional<ServeId> local;
   /// Failure of a backend server, for when a repeat brings nothing better.
@@ -483,12 +477,8 @@
     exchange->Respond({503, {{"Retry-After", "0.2"}}, {}});
     return;
   }
-  const auto* timeout =
-      h1::FindHeader(request.headers, this->settings.fields.timeout_ms);
-  std::optional<milliseconds> caller_timeout;
-  if (const auto value = ParseMs(timeout)) {
-    caller_timeout = milliseconds(*value);
-  }
+  const auto caller_timeout = ParseMs(
+      h1::FindHeader(request.headers, this->settings.fields.timeout_ms));
   std::make_shared<Call>(*this, std::move(exchange), this->policy, *route,
                          caller_timeout, latest_end)
       ->Run();
--- a/src/libmesh/header_values.cc
+++ b/src/libmesh/header_values.cc
@@ -2,11 +2,12 @@
 
 #include <array>
 #include <charconv>
+#include <cstdint>
 #include <cstdio>
 
 namespace cassiakeel::mesh::pvt {
 
-std::optional<std::int64_t> ParseMs(const std::string* text) {
+std::optional<std::chrono::milliseconds> ParseMs(const std::string* text) {
   if (text == nullptr) {
     return std::nullopt;
   }
@@ -16,7 +17,7 @@
   if (parsed.ec != std::errc() || value < 0) {
     return std::nullopt;
   }
-  return value;
+  return std::chrono::milliseconds(value);
 }
 
 std::string Seconds(std::chrono::milliseconds time) {
--- a/src/libmesh/header_values.h
+++ b/src/libmesh/header_values.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <chrono>
-#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -11,7 +10,7 @@
 
 /// A number of milliseconds, or nothing for a missing, malformed or negative
 /// value.
-std::optional<std::int64_t> ParseMs(const std::string* text);
+std::optional<std::chrono::milliseconds> ParseMs(const std::string* text);
 
 /// Seconds with three digits behind the point, for Retry-After.
 std::string Seconds(std::chrono::milliseconds time);
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -3,7 +3,6 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <charconv>
 #include <thread>
 
 #include "backend_gate.h"
@@ -33,16 +32,6 @@
 constexpr milliseconds kDispatchWhileStopping{2800};
 constexpr milliseconds kAnswerReserve{250};
 
-std::optional<std::int64_t> ParseInteger(const std::string* text) {
-  std::int64_t value = 0;
-  if (text == nullptr ||
-      std::from_chars(text->data(), text->data() + text->size(), value).ec !=
-          std::errc()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 }  // namespace
 
 class MeshNode::Impl {
@@ -207,7 +196,7 @@
     }
     auto& request = exchange->request();
     const auto* text = h1::FindHeader(request.headers, kCallField);
-    const auto timeout = ParseInteger(
+    const auto timeout = pvt::ParseMs(
         h1::FindHeader(request.headers, this->settings.fields.timeout_ms));
     const auto info =
         text == nullptr ? Fail("read call", "no call field") : ParseCall(*text);
@@ -218,19 +207,15 @@
     this->NotePeer(info->sender);
     ServeRequest serve;
     serve.info = *info;
-    serve.deadline = exchange->received() + milliseconds(*timeout);
+    serve.deadline = exchange->received() + *timeout;
     serve.request = std::move(request);
     pvt::RemoveHopFields(serve.request.headers, this->settings.fields);
-    const auto id = std::make_shared<std::optional<pvt::ServeId>>();
-    *id = this->gate->Submit(std::move(serve),
-                             [this, exchange](ServeResult result) {
-                               this->Reply(*exchange, std::move(result));
-                             });
-    exchange->OnPeerClosed([this, id] {
-      if (*id) {
-        this->gate->Withdraw(**id);
-      }
-    });
+    const auto id = this->gate->Submit(
+        std::move(serve), [this, exchange](ServeResult result) {
+          this->Reply(*exchange, std::move(result));
+        });
+    // Does nothing for a call that has ended.
+    exchange->OnPeerClosed([this, id] { this->gate->Withdraw(id); });
   }
 
   void Reply(h1::Exchange& exchange, ServeResult result) {
--- a/src/libmesh/traffic_test.cc
+++ b/src/libmesh/traffic_test.cc
@@ -15,9 +15,21 @@
   exchange->Respond(std::move(response));
 }
 
-int TotalRuns(const FakeBackend& a, const FakeBackend& b) {
-  return a.runs + b.runs;
-}
+// A front node and two servers of one service that fail all that they run.
+struct FailingServers {
+  FailingServers() {
+    this->mesh.AddNode("a", "front");
+    this->mesh.AddNode("b", "back");
+    this->mesh.AddNode("c", "back");
+    this->mesh.SetBackend("b", this->first);
+    this->mesh.SetBackend("c", this->second);
+  }
+  int Runs() const { return this->first.runs + this->second.runs; }
+
+  FakeBackend first{FailAfterRunning};
+  FakeBackend second{FailAfterRunning};
+  TestMesh mesh;
+};
 
 }  // namespace
 
@@ -53,32 +65,20 @@
 }
 
 TEST_CASE("work that must not run twice is not repeated after a server error") {
-  FakeBackend first(FailAfterRunning);
-  FakeBackend second(FailAfterRunning);
-  TestMesh mesh;
-  mesh.AddNode("a", "front");
-  mesh.AddNode("b", "back");
-  mesh.AddNode("c", "back");
-  mesh.SetBackend("b", first);
-  mesh.SetBackend("c", second);
+  FailingServers servers;
+  auto& mesh = servers.mesh;
   mesh.Publish({TestMesh::MakeRoute("back", false)});
   const auto result = mesh.Call("a", "/back/1", "id");
   CHECK(result.response.status == 500);
-  CHECK(TotalRuns(first, second) == 1);
+  CHECK(servers.Runs() == 1);
 }
 
 TEST_CASE("idempotent work is repeated after a server error, up to its bound") {
-  FakeBackend first(FailAfterRunning);
-  FakeBackend second(FailAfterRunning);
-  TestMesh mesh;
-  mesh.AddNode("a", "front");
-  mesh.AddNode("b", "back");
-  mesh.AddNode("c", "back");
-  mesh.SetBackend("b", first);
-  mesh.SetBackend("c", second);
+  FailingServers servers;
+  auto& mesh = servers.mesh;
   mesh.Publish({TestMesh::MakeRoute("back", true)});
   CHECK(mesh.Call("a", "/back/1", "id").response.status == 500);
-  CHECK(TotalRuns(first, second) == 2);
+  CHECK(servers.Runs() == 2);
 }
 
 TEST_CASE("a lost answer to work that must not run twice is no refusal") {
