Match a call to the request that caused it by its id

Cause: the rank of a request tree was handed on by the nearest deadline. Change: where a server forms the id of a call from the id of the request that caused it, the gate looks that id up among its runs. The shed rank of an unmatched call is that of the id's first part. Test: "an id that extends that of a run goes before a nearer deadline".

--- a/src/include/cassiakeel/mesh/call.h
+++ b/src/include/cassiakeel/mesh/call.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "cassiakeel/admission/admission.h"
 #include "cassiakeel/base/error.h"
@@ -28,8 +29,18 @@
   std::string not_run;
   /// Service on the machine where the request began.
   std::string caller_service;
+  /// Backend servers may form the id of a call from the id of the request that
+  /// caused it, this character and a part of its own. Only a hint: ids that are
+  /// formed otherwise work as well, and 0 stands for no such form.
+  char id_separator = 0;
 };
 
+/// The id of the request that caused a call, or empty for an id of another
+/// form.
+std::string_view ParentId(std::string_view id, char separator);
+/// The id of the request of a client that stands at the root of a call's tree.
+std::string_view RootId(std::string_view id, char separator);
+
 /// Versions of the control state that a node has. They travel with calls and
 /// results, so that a node whose connection to the store went silent learns
 /// that there is something newer.
--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -220,6 +220,9 @@
       std::chrono::duration_cast<milliseconds>(call.request.deadline - now));
   call.told_deadline = now + left;
   this->by_deadline.emplace(call.told_deadline, id);
+  if (!call.attempt.empty()) {
+    this->by_attempt[call.attempt] = id;
+  }
   h1::Fetch fetch;
   fetch.peer = this->backend.report.address;
   fetch.request = std::move(call.request.request);
@@ -341,6 +344,10 @@
       break;
     }
   }
+  const auto named = this->by_attempt.find(call->attempt);
+  if (named != this->by_attempt.end() && named->second == id) {
+    this->by_attempt.erase(named);
+  }
   return call;
 }
 
@@ -348,9 +355,24 @@
   this->Extract(id)->handler(std::move(result));
 }
 
-std::optional<Parent> BackendGate::FindParent(SteadyTime deadline) const {
+Parent BackendGate::ParentOf(ServeId id) const {
+  const auto& info = this->calls.at(id)->request.info;
+  return {id, info.priority, info.tree_rank, info.repeat};
+}
+
+std::optional<Parent> BackendGate::FindParent(const std::string& attempt,
+                                              SteadyTime deadline) {
+  const auto named = this->by_attempt.find(
+      std::string(ParentId(attempt, this->fields.id_separator)));
+  if (named != this->by_attempt.end()) {
+    this->ids_extend = true;
+    return this->ParentOf(named->second);
+  }
+  if (this->ids_extend) {
+    return std::nullopt;
+  }
   auto entry = this->by_deadline.lower_bound(deadline - kDeadlineMatch);
-  std::optional<Parent> best;
+  std::optional<ServeId> best;
   auto best_distance = SteadyTime::duration::max();
   for (; entry != this->by_deadline.end() &&
          entry->first <= deadline + kDeadlineMatch;
@@ -358,11 +380,10 @@
     const auto distance = std::chrono::abs(entry->first - deadline);
     if (distance < best_distance) {
       best_distance = distance;
-      const auto& info = this->calls.at(entry->second)->request.info;
-      best = Parent{entry->second, info.priority, info.tree_rank, info.repeat};
+      best = entry->second;
     }
   }
-  return best;
+  return best ? std::optional(this->ParentOf(*best)) : std::nullopt;
 }
 
 void BackendGate::NoteChild(ServeId parent, double shed_level) {
--- a/src/libmesh/backend_gate.h
+++ b/src/libmesh/backend_gate.h
@@ -53,10 +53,11 @@
   /// cancelled, other work goes on without anybody to answer.
   void Withdraw(ServeId id);
 
-  /// The running call that caused a request with this deadline, if one of the
-  /// backend server's calls has it: a call expires with its parent, and nothing
-  /// else tells them apart from requests of clients.
-  std::optional<Parent> FindParent(SteadyTime deadline) const;
+  /// The running call that caused a request. Its id tells where the backend
+  /// server extends ids; else a call expires with its parent, and the nearest
+  /// deadline is taken, which can be wrong when many calls run.
+  std::optional<Parent> FindParent(const std::string& attempt,
+                                   SteadyTime deadline);
   /// Notes what a call of a running call met; it counts for the parent's
   /// result.
   void NoteChild(ServeId parent, double shed_level);
@@ -82,6 +83,7 @@
   void NoteBackendHealth(const h1::FetchResult& fetch);
   void Finish(ServeId id, ServeResult result);
   std::unique_ptr<Call> Extract(ServeId id);
+  Parent ParentOf(ServeId id) const;
   ServeResult Refusal(Reason reason,
                       std::chrono::milliseconds retry_after) const;
   void LogRefusal(const Call& call, Reason reason) const;
@@ -97,6 +99,10 @@
   std::unordered_map<ServeId, std::unique_ptr<Call>> calls;
   /// Running calls by the deadline that the backend server was told.
   std::multimap<SteadyTime, ServeId> by_deadline;
+  /// Running calls by the id of the caller's attempt.
+  std::unordered_map<std::string, ServeId> by_attempt;
+  /// The backend server has been seen to extend ids.
+  bool ids_extend = false;
   ServeId next_id = 1;
   h1::Timer timer;
   SteadyTime armed_for;
--- a/src/libmesh/call.cc
+++ b/src/libmesh/call.cc
@@ -79,6 +79,16 @@
 
 }  // namespace
 
+std::string_view ParentId(std::string_view id, char separator) {
+  const auto end =
+      separator == 0 ? std::string_view::npos : id.rfind(separator);
+  return end == std::string_view::npos ? std::string_view() : id.substr(0, end);
+}
+
+std::string_view RootId(std::string_view id, char separator) {
+  return separator == 0 ? id : id.substr(0, id.find(separator));
+}
+
 RequestClass ClassOfPriority(int priority) {
   const auto last = static_cast<int>(kRequestClassCount) - 1;
   return kAllRequestClasses[static_cast<std::size_t>(
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -63,10 +63,14 @@
   }
 
   void Run() {
-    this->parent = this->owner.gate.FindParent(this->caller_deadline);
+    this->parent =
+        this->owner.gate.FindParent(this->attempt_id, this->caller_deadline);
     this->priority = this->parent ? this->parent->priority : route.priority;
     this->tree_rank =
-        this->parent ? this->parent->tree_rank : StableUnit(this->attempt_id);
+        this->parent
+            ? this->parent->tree_rank
+            : StableUnit(RootId(this->attempt_id,
+                                this->owner.settings.fields.id_separator));
     if (!this->parent && this->ShedAtEntry()) {
       return;
     }
--- a/src/libmesh/gate_test.cc
+++ b/src/libmesh/gate_test.cc
@@ -39,14 +39,15 @@
                       double rank,
                       std::vector<int>& order,
                       int name,
-                      bool idempotent = true) {
+                      bool idempotent = true,
+                      const std::string& attempt = "a") {
     ServeRequest request;
     request.info.service = ServiceName("s");
     request.info.priority = priority;
     request.info.tree_rank = rank;
     request.info.idempotent = idempotent;
     request.info.target_latency = milliseconds(2000);
-    request.request = {"GET", "/", {{"Host", "h"}, {"Attempt", "a"}}, {}};
+    request.request = {"GET", "/", {{"Host", "h"}, {"Attempt", attempt}}, {}};
     request.deadline = this->clock.Now() + milliseconds(3000);
     return this->gate->Submit(std::move(request),
                               [this, &order, name](const ServeResult& result) {
@@ -112,18 +113,48 @@
   const auto before = fixture.clock.Now();
   const auto id = fixture.Submit(0, 0.75, order, 1);
   const auto deadline = before + milliseconds(3000);
-  const auto parent = fixture.gate->FindParent(deadline);
+  const auto parent = fixture.gate->FindParent("child", deadline);
   REQUIRE(parent);
   CHECK(parent->id == id);
   CHECK(parent->priority == 0);
   CHECK(parent->tree_rank == 0.75);
-  CHECK_FALSE(fixture.gate->FindParent(deadline + milliseconds(50)));
+  CHECK_FALSE(fixture.gate->FindParent("child", deadline + milliseconds(50)));
   // What a call met counts for the request that caused it.
   fixture.gate->NoteChild(id, 1.25);
   fixture.AnswerNext();
   fixture.RunUntil([&order] { return order.size() == 1; });
   CHECK(fixture.last.shed_level == Approx(1.25));
-  CHECK_FALSE(fixture.gate->FindParent(deadline));
+  CHECK_FALSE(fixture.gate->FindParent("child", deadline));
+}
+
+TEST_CASE("an id that extends that of a run goes before a nearer deadline") {
+  GateFixture fixture;
+  fixture.SetBackend("i-1", false, 2);
+  fixture.fields.id_separator = '.';
+  std::vector<int> order;
+  fixture.Submit(0, 0.75, order, 1, true, "x");
+  const auto before = fixture.clock.Now();
+  fixture.Submit(2, 0.25, order, 2, true, "y");
+  const auto deadline = before + milliseconds(3000);
+  // The second run's deadline is nearer, yet the id names the first.
+  const auto parent = fixture.gate->FindParent("x.1", deadline);
+  REQUIRE(parent);
+  CHECK(parent->priority == 0);
+  CHECK(parent->tree_rank == 0.75);
+  // From now on ids tell: a request of a client is nobody's call.
+  CHECK_FALSE(fixture.gate->FindParent("z", deadline));
+  CHECK_FALSE(fixture.gate->FindParent("z.1", deadline));
+  fixture.AnswerNext();
+  fixture.RunUntil([&order] { return order.size() == 1; });
+  CHECK_FALSE(fixture.gate->FindParent("x.1", deadline));
+}
+
+TEST_CASE("ids of a tree lead to their parent and their root") {
+  CHECK(ParentId("a.b.c", '.') == "a.b");
+  CHECK(ParentId("a", '.').empty());
+  CHECK(ParentId("a.b", 0).empty());
+  CHECK(RootId("a.b.c", '.') == "a");
+  CHECK(RootId("a.b", 0) == "a.b");
 }
 
 TEST_CASE("queued work is refused as not run when the server leaves") {
