Give scarce repeats to the most important work and count inherited ones

Cause: a node used a quarter of the allowed ratio for whoever came first, and calls of repeated runs, which count at the next hop, were not counted. Change: half of the ratio is used; calls of a repeated run use up the share of the next hop; while more repeats are wanted than are left for the next five seconds, those highest in shedding order get them. Tests: "scarce repeats go to the most important work", "calls of a repeated run use up the share of the next hop".

--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -254,7 +254,7 @@
       auto& quota = quotas[static_cast<std::size_t>(step % nodes)];
       quota.NoteFirst(service, now);
       events.emplace_back(now, false);
-      if (quota.Take(service, now)) {
+      if (quota.Take(service, (step % 30) / 10.0, now)) {
         events.emplace_back(now, true);
       }
       // The bound's requests may be counted up to half a window earlier.
@@ -273,6 +273,53 @@
   });
 }
 
+// One second of work at two positions, all of which wants a repeat; returns how
+// many each position got.
+std::pair<int, int> TakeForASecond(pvt::RetryQuota& quota, SteadyTime start) {
+  const ServiceName service("s");
+  std::pair<int, int> got;
+  for (int i = 0; i < 100; ++i) {
+    const auto now = start + milliseconds(10) * i;
+    quota.NoteFirst(service, now);
+    quota.NoteFirst(service, now);
+    got.first += quota.Take(service, 3.5, now) ? 1 : 0;
+    got.second += quota.Take(service, 1.5, now) ? 1 : 0;
+  }
+  return got;
+}
+
+TEST_CASE("scarce repeats go to the most important work") {
+  pvt::RetryQuota quota;
+  quota.SetBounds({0.2, std::chrono::seconds(10), 0}, 1);
+  int important = 0;
+  int other = 0;
+  SteadyTime now{std::chrono::hours(1)};
+  for (int i = 0; i < 20; ++i) {
+    const auto got = TakeForASecond(quota, now);
+    now += std::chrono::seconds(1);
+    important += got.first;
+    other += got.second;
+  }
+  // A tenth of 200 first arrivals a second is allowed.
+  CHECK(important > 250);
+  CHECK(other < 20);
+}
+
+TEST_CASE("calls of a repeated run use up the share of the next hop") {
+  pvt::RetryQuota quota;
+  quota.SetBounds({0.2, std::chrono::seconds(10), 0}, 1);
+  const ServiceName service("s");
+  const SteadyTime now{std::chrono::hours(1)};
+  for (int i = 0; i < 100; ++i) {
+    quota.NoteFirst(service, now);
+  }
+  for (int i = 0; i < 9; ++i) {
+    quota.NoteInherited(service, now);
+  }
+  CHECK(quota.Take(service, 3.5, now));
+  CHECK_FALSE(quota.Take(service, 3.5, now));
+}
+
 TEST_CASE("an entry level rises with what requests meet and falls by itself") {
   pvt::EntryLevels levels;
   SteadyTime now{std::chrono::hours(1)};
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -89,8 +89,7 @@
     const auto now = this->owner.timers->Now();
     const double level =
         this->owner.entry_levels.LevelOf(this->route.name.Value(), now);
-    if (admission::ShedPosition(ClassOfPriority(this->priority),
-                                this->tree_rank) >= level) {
+    if (this->Position() >= level) {
       return false;
     }
     this->retry_after = kEntryRetryAfter;
@@ -184,7 +183,7 @@
     const auto now = this->owner.timers->Now();
     auto& pool = this->owner.pools.Of(this->service);
     if (result.reached_backend && this->arrivals++ == 0) {
-      this->owner.quota.NoteFirst(this->service, now);
+      this->CountFirst(now);
     }
     if (this->parent) {
       this->owner.gate.NoteChild(this->parent->id, result.shed_level);
@@ -213,6 +212,19 @@
     routing::OnAnswer(pool, this->node, answer, now);
   }
 
+  void CountFirst(SteadyTime now) {
+    if (this->parent && this->parent->repeat) {
+      this->owner.quota.NoteInherited(this->service, now);
+    } else {
+      this->owner.quota.NoteFirst(this->service, now);
+    }
+  }
+
+  double Position() const {
+    return admission::ShedPosition(ClassOfPriority(this->priority),
+                                   this->tree_rank);
+  }
+
   void OnAnswered(ServeResult result) {
     this->may_have_run = true;
     const bool server_error = result.response.status >= 500;
@@ -265,7 +277,7 @@
         std::chrono::duration_cast<nanoseconds>(whole * kLeastShareForRepeat)) {
       return false;
     }
-    if (!this->owner.quota.Take(this->service, now)) {
+    if (!this->owner.quota.Take(this->service, this->Position(), now)) {
       ++this->owner.statistics.repeats_denied;
       return false;
     }
