Serve what the kernel holds before a stopping node closes

Closing the listener resets the connections that wait in it, and closing a connection whose request has not been read resets that one; the more loaded the machine, the more of both. Ruled out: the request had not run, and requests read whole are served already. Change: the listener accepts what the kernel completed before it closes; at the end, connections with bytes to read are served first; the node ends once no connection is open instead of one poll after the last request.

--- a/src/include/cassiakeel/h1/server.h
+++ b/src/include/cassiakeel/h1/server.h
@@ -62,10 +62,13 @@
 
   /// From now on responses announce that the connection closes.
   void AnnounceClose();
-  /// Accepts no further connections; open ones are served.
+  /// Accepts no further connections than those that the kernel has completed;
+  /// open ones are served.
   void StopAccepting();
-  /// Stops accepting, and closes connections that wait for a request.
+  /// Stops accepting, and closes connections that wait for a request. Requests
+  /// that have arrived are served first.
   void Shutdown();
+  std::size_t OpenConnections() const;
   /// Requests being served.
   std::size_t InProgress() const;
 
--- a/src/libh1/h1_test.cc
+++ b/src/libh1/h1_test.cc
@@ -258,6 +258,37 @@
   CHECK(refused);
 }
 
+TEST_CASE("a stop resets no connection whose request is in the kernel") {
+  Loop loop;
+  const auto server = loop.Serve([](std::shared_ptr<Exchange> exchange) {
+    exchange->Respond({200, {}, "late"});
+  });
+  const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  tcp::socket accepted(loop.io_context);
+  accepted.connect(EndpointOf(loop.address));
+  loop.io_context.run_for(milliseconds(20));
+  loop.io_context.restart();
+  // Neither the new connection nor the request on the accepted one has been
+  // seen by the server when it stops.
+  tcp::socket pending(loop.io_context);
+  pending.connect(EndpointOf(loop.address));
+  asio::write(pending, asio::buffer(request));
+  asio::write(accepted, asio::buffer(request));
+  server->Shutdown();
+  for (auto* socket : {&accepted, &pending}) {
+    socket->non_blocking(true);
+    std::string received;
+    loop.RunUntil([socket, &received] {
+      std::array<char, 1024> buffer{};
+      asio::error_code error;
+      const auto count = socket->read_some(asio::buffer(buffer), error);
+      received.append(buffer.data(), error ? 0 : count);
+      return received.find("late") != std::string::npos;
+    });
+  }
+  loop.RunUntil([&server] { return server->OpenConnections() == 0; });
+}
+
 TEST_CASE("a late response to an earlier request is dropped") {
   Loop loop;
   RawServer server([](tcp::socket& socket) {
--- a/src/libh1/server.cc
+++ b/src/libh1/server.cc
@@ -65,6 +65,17 @@
 
   bool busy() const { return this->active != nullptr || this->writing; }
 
+  // Serves a request that has arrived whole; closes the connection otherwise.
+  void ServeOrClose() {
+    asio::error_code error;
+    if (!this->busy() && this->socket.available(error) > 0) {
+      this->OnReadable();
+    }
+    if (!this->busy()) {
+      this->Close();
+    }
+  }
+
   void Close() {
     if (this->closed) {
       return;
@@ -340,9 +351,18 @@
     return true;
   }
 
+  // The kernel resets the connections that wait in a listener when it closes.
   void StopAccepting() {
-    asio::error_code ignored;
-    this->acceptor.close(ignored);
+    asio::error_code error;
+    while (this->acceptor.is_open()) {
+      tcp::socket socket(this->acceptor.get_executor());
+      this->acceptor.accept(socket, error);
+      if (error) {
+        break;
+      }
+      this->Admit(std::move(socket));
+    }
+    this->acceptor.close(error);
   }
 
   void Shutdown() {
@@ -350,14 +370,14 @@
     this->StopAccepting();
     const auto all = this->shared->connections;
     for (const auto& connection : all) {
-      if (!connection->busy()) {
-        connection->Close();
-      }
+      connection->ServeOrClose();
     }
   }
 
   void CloseAll() {
-    this->Shutdown();
+    this->shared->stopped = true;
+    asio::error_code ignored;
+    this->acceptor.close(ignored);
     const auto all = this->shared->connections;
     for (const auto& connection : all) {
       connection->Close();
@@ -438,6 +458,10 @@
   this->impl->Shutdown();
 }
 
+std::size_t Server::OpenConnections() const {
+  return this->impl->state()->connections.size();
+}
+
 std::size_t Server::InProgress() const {
   return this->impl->state()->in_progress;
 }
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -245,15 +245,15 @@
     const bool idle = this->outbound->InProgress() == 0 &&
                       this->inbound->InProgress() == 0 &&
                       this->gate->InFlight() == 0;
+    const bool time_is_up = passed >= this->settings.grace - kExitReserve;
     const bool may_end = idle && passed >= kLeastLeavingTime;
-    if (may_end && !this->accepting_stopped) {
-      // Requests on connections accepted just now are read until the next poll.
-      this->accepting_stopped = true;
-      this->outbound->StopAccepting();
-      this->inbound->StopAccepting();
-    } else if (may_end || passed >= this->settings.grace - kExitReserve) {
+    if (time_is_up || may_end) {
       this->outbound->Shutdown();
       this->inbound->Shutdown();
+    }
+    const bool closed = this->outbound->OpenConnections() == 0 &&
+                        this->inbound->OpenConnections() == 0;
+    if (time_is_up || (may_end && closed)) {
       this->ready->Shutdown();
       this->work.reset();
       this->io_context.stop();
@@ -283,7 +283,6 @@
   std::size_t directory_size = 0;
   bool has_directory = false;
   bool stopping = false;
-  bool accepting_stopped = false;
   SteadyTime stop_began;
   asio::executor_work_guard<asio::io_context::executor_type> work;
   std::thread thread;
