Repeat at the hop that failed and let refusals of servers arrive again

The hops above repeated whole runs that failed by such a call; the calls of these runs used up the repeats of the last hop, and the servers above were avoided as failing though they were sound. Change: a result tells whether a call that the run made had failed; then nobody above repeats it and no server is blamed. A request that a server refused unrun may arrive up to four times, at no more servers than its route allows. Tests: "a run that failed by its call is repeated at the last hop only", "a server that refuses gets the request again, within bounds".

--- a/src/include/cassiakeel/mesh/call.h
+++ b/src/include/cassiakeel/mesh/call.h
@@ -82,6 +82,9 @@
   Reason reason = Reason::kNone;
   /// The backend server received the request, also when it refused it.
   bool reached_backend = false;
+  /// A call that the run made had failed. Whoever made that call has repeated
+  /// it as far as that is allowed, so repeating the whole run is a waste.
+  bool call_failed = false;
   std::chrono::milliseconds retry_after{0};
   h1::Response response;
   admission::Load load;
--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -39,6 +39,7 @@
   /// As the backend server was told; set while running.
   SteadyTime told_deadline;
   double child_shed_level = 0;
+  bool child_failed = false;
   /// Id of the caller's attempt, for the log.
   std::string attempt;
 };
@@ -269,6 +270,8 @@
   result.load = admission::LoadOf(this->admission, now);
   result.shed_level =
       std::max(this->admission.shed.level, found->second->child_shed_level);
+  result.call_failed =
+      found->second->child_failed && result.response.status >= 500;
   this->Finish(id, std::move(result));
   this->Apply(decisions);
 }
@@ -394,6 +397,13 @@
   }
 }
 
+void BackendGate::NoteChildFailed(ServeId parent) {
+  const auto found = this->calls.find(parent);
+  if (found != this->calls.end()) {
+    found->second->child_failed = true;
+  }
+}
+
 ServeResult BackendGate::Refusal(Reason reason,
                                  milliseconds retry_after) const {
   ServeResult result;
--- a/src/libmesh/backend_gate.h
+++ b/src/libmesh/backend_gate.h
@@ -58,9 +58,11 @@
   /// deadline is taken, which can be wrong when many calls run.
   std::optional<Parent> FindParent(const std::string& attempt,
                                    SteadyTime deadline);
-  /// Notes what a call of a running call met; it counts for the parent's
-  /// result.
+  /// Notes the shed level that a call of a running call met; it counts for the
+  /// parent's result.
   void NoteChild(ServeId parent, double shed_level);
+  /// A call of a running call ended without success.
+  void NoteChildFailed(ServeId parent);
 
   bool Serves(const ServiceName& service) const;
   admission::Load LoadNow() const;
--- a/src/libmesh/call.cc
+++ b/src/libmesh/call.cc
@@ -137,11 +137,12 @@
               std::to_string(static_cast<int>(result.load.leaving)),
               std::to_string(result.service_time.count() / 1000),
               Scaled(result.shed_level), std::to_string(result.sender.policy),
-              std::to_string(result.sender.directory));
+              std::to_string(result.sender.directory),
+              std::to_string(static_cast<int>(result.call_failed)));
 }
 
 Result<ServeResult> ParseResult(const std::string& text) {
-  const auto numbers = Numbers<13>(Split(text), 0);
+  const auto numbers = Numbers<14>(Split(text), 0);
   if (!numbers) {
     return Fail("parse result", "malformed field " + text);
   }
@@ -169,6 +170,7 @@
   result.shed_level = Unscaled(n[10]);
   result.sender = {static_cast<std::uint64_t>(n[11]),
                    static_cast<std::uint64_t>(n[12])};
+  result.call_failed = n[13] != 0;
   return result;
 }
 
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -355,14 +355,16 @@
   result.outcome = Outcome::kNotRun;
   result.reason = Reason::kOverload;
   result.shed_level = 1.5;
+  result.call_failed = true;
   result.load.limit = 9;
   const auto parsed = ParseResult(FormatResult(result));
   REQUIRE(parsed);
   CHECK(parsed->reason == Reason::kOverload);
   CHECK(parsed->shed_level == Approx(1.5));
   CHECK(parsed->load.limit == 9);
+  CHECK(parsed->call_failed);
   CHECK_FALSE(ParseCall("a|b"));
-  CHECK_FALSE(ParseResult("9|0|0|0|0|0|0|0|0|0|0|0|0"));
+  CHECK_FALSE(ParseResult("9|0|0|0|0|0|0|0|0|0|0|0|0|0"));
 }
 
 TEST_CASE("the longest prefix wins and weights divide the requests") {
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds kAnswerSlack{80};
 // Nodes to ask for one attempt before the refusal is passed on.
 constexpr int kMaxReroutes = 2;
+// Arrivals of one request at backend servers, refusals of the servers included.
+constexpr int kMaxArrivals = 4;
 // A repeat with less of its time left hardly succeeds.
 constexpr double kLeastShareForRepeat = 0.2;
 
@@ -108,9 +110,26 @@
       this->Refuse(selection.reason);
       return;
     }
-    const auto& endpoint = pool.endpoints[*selection.endpoint];
+    this->tried.push_back(pool.endpoints[*selection.endpoint].node);
+    this->SendToEndpoint(pool, *selection.endpoint);
+  }
+
+  // Sends the request once more to the server that refused it, because no
+  // further server may get it.
+  void AttemptAgain() {
+    auto& pool = this->owner.pools.Of(this->service);
+    const auto found = pool.index.find(this->node);
+    if (found == pool.index.end()) {
+      this->Refuse(Reason::kServerRefused);
+      return;
+    }
+    this->SendToEndpoint(pool, found->second);
+  }
+
+  void SendToEndpoint(routing::Pool& pool, std::size_t index) {
+    const auto& endpoint = pool.endpoints[index];
+    const auto now = this->owner.timers->Now();
     this->node = endpoint.node;
-    this->tried.push_back(this->node);
     this->sent_at = now;
     routing::OnDispatch(pool, this->node, now);
     CallInfo info{this->service,
@@ -208,7 +227,8 @@
     answer.load = result.load;
     answer.server_failed =
         result.reason == Reason::kServerRefused ||
-        (result.outcome == Outcome::kRan && result.response.status >= 500);
+        (result.outcome == Outcome::kRan && result.response.status >= 500 &&
+         !result.call_failed);
     routing::OnAnswer(pool, this->node, answer, now);
   }
 
@@ -228,7 +248,8 @@
   void OnAnswered(ServeResult result) {
     this->may_have_run = true;
     const bool server_error = result.response.status >= 500;
-    if (server_error && this->MayRepeat()) {
+    if (server_error && !result.call_failed &&
+        this->MayRepeat(this->route.max_attempts)) {
       this->fallback = std::move(result.response);
       this->Attempt();
       return;
@@ -256,19 +277,23 @@
     if (result.outcome != Outcome::kNotRun) {
       this->may_have_run = true;
     }
-    if (this->MayRepeat()) {
-      this->Attempt();
+    const bool more_servers = this->arrivals < this->route.max_attempts;
+    const int most = result.reason == Reason::kServerRefused
+                         ? std::max(kMaxArrivals, this->route.max_attempts)
+                         : this->route.max_attempts;
+    if (this->MayRepeat(most)) {
+      more_servers ? this->Attempt() : this->AttemptAgain();
       return;
     }
     this->Refuse(result.reason);
   }
 
-  // Whether the request may be handed to one more backend server.
-  bool MayRepeat() {
+  // Whether the request may arrive at a backend server once more.
+  bool MayRepeat(int most_arrivals) {
     if (this->may_have_run && !this->route.idempotent) {
       return false;
     }
-    if (this->arrivals >= this->route.max_attempts) {
+    if (this->arrivals >= most_arrivals) {
       return false;
     }
     const auto now = this->owner.timers->Now();
@@ -384,6 +409,9 @@
       response.headers.emplace_back(this->owner.settings.fields.attempt_id,
                                     this->attempt_id);
     }
+    if (this->parent && response.status >= 400) {
+      this->owner.gate.NoteChildFailed(this->parent->id);
+    }
     const auto target = this->exchange;
     this->End();
     target->Respond(std::move(response));
--- a/src/libmesh/gate_test.cc
+++ b/src/libmesh/gate_test.cc
@@ -121,9 +121,12 @@
   CHECK_FALSE(fixture.gate->FindParent("child", deadline + milliseconds(50)));
   // What a call met counts for the request that caused it.
   fixture.gate->NoteChild(id, 1.25);
+  fixture.gate->NoteChildFailed(id);
   fixture.AnswerNext();
   fixture.RunUntil([&order] { return order.size() == 1; });
   CHECK(fixture.last.shed_level == Approx(1.25));
+  // The run was a success all the same.
+  CHECK_FALSE(fixture.last.call_failed);
   CHECK_FALSE(fixture.gate->FindParent("child", deadline));
 }
 
--- a/src/libmesh/mesh_test_support.h
+++ b/src/libmesh/mesh_test_support.h
@@ -32,7 +32,8 @@
 }
 
 inline FieldNames TestFields() {
-  return {"Attempt", "Timeout", "Signature", "Expect-Id", "Not-Run", "Caller"};
+  return {"Attempt", "Timeout", "Signature", "Expect-Id",
+          "Not-Run", "Caller",  '.'};
 }
 
 /// A backend server in a thread of its own that answers as its behaviour says
--- a/src/libmesh/traffic_test.cc
+++ b/src/libmesh/traffic_test.cc
@@ -81,6 +81,50 @@
   CHECK(servers.Runs() == 2);
 }
 
+TEST_CASE("a run that failed by its call is repeated at the last hop only") {
+  FakeBackend deep(FailAfterRunning);
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "middle");
+  mesh.AddNode("c", "middle");
+  mesh.AddNode("d", "deep");
+  mesh.AddNode("e", "deep");
+  const auto call_deep = [&mesh](const std::string& node) {
+    return [&mesh, node](const std::shared_ptr<h1::Exchange>& exchange) {
+      const auto result = mesh.Call(node, "/deep/1", "root.1", 1500);
+      auto response = FakeBackend::Success(exchange->request());
+      response.status = result.response.status;
+      exchange->Respond(std::move(response));
+    };
+  };
+  FakeBackend first(call_deep("b"));
+  FakeBackend second(call_deep("c"));
+  mesh.SetBackend("b", first);
+  mesh.SetBackend("c", second);
+  mesh.SetBackend("d", deep);
+  mesh.SetBackend("e", deep);
+  mesh.Publish(
+      {TestMesh::MakeRoute("middle", true), TestMesh::MakeRoute("deep", true)});
+  CHECK(mesh.Call("a", "/middle/1", "root", 1700).response.status == 500);
+  CHECK(deep.runs == 2);
+  CHECK(first.runs + second.runs == 1);
+}
+
+TEST_CASE("a server that refuses gets the request again, within bounds") {
+  FakeBackend backend([](const std::shared_ptr<h1::Exchange>& exchange) {
+    exchange->Respond({503, {{"Not-Run", "1"}}, {}});
+  });
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "back");
+  mesh.SetBackend("b", backend);
+  auto route = TestMesh::MakeRoute("back", false);
+  route.max_attempts = 1;
+  mesh.Publish({route});
+  CHECK(mesh.Call("a", "/back/1", "id").response.status == 503);
+  CHECK(backend.runs == 4);
+}
+
 TEST_CASE("a lost answer to work that must not run twice is no refusal") {
   FakeBackend backend([](const std::shared_ptr<h1::Exchange>& exchange) {
     // Success without proof is not the server's own response.
