Leave a twentieth of a server's slots free

Cause: some servers slow down when nearly full. Ruled out: a limit that follows latency; service times include calls to others. Change: the limit of a server of ten slots or more is 0.95 of its slots. Test: "a server of many slots is not filled to the last one".

--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -24,6 +24,11 @@
 constexpr milliseconds kAnswerSlack{40};
 // With less time left no server finishes anything.
 constexpr milliseconds kLeastTime{2};
+// Some servers slow down when they are nearly full, so that they finish less
+// than with a few slots free; others lose this share of their capacity.
+constexpr double kUsedSlotShare = 0.95;
+// With fewer slots, a free one would be a larger share.
+constexpr int kLeastSlotsToSpare = 10;
 // Share of the target latency that a call may wait in the queue.
 constexpr double kWaitShare = 0.5;
 // Differences between the deadline of a run and of its calls: the way to the
@@ -80,6 +85,10 @@
       this->backend.report.address == next.report.address;
   admission::Config config;
   config.slots = next.report.slots;
+  if (const int slots = next.report.slots.Value();
+      slots >= kLeastSlotsToSpare) {
+    config.max_in_flight = static_cast<int>(slots * kUsedSlotShare);
+  }
   config.short_reserved = Slots(0);
   config.long_share = Percent(100);
   config.queue_capacity = std::max(64, next.report.slots.Value() * 4);
--- a/src/libmesh/gate_test.cc
+++ b/src/libmesh/gate_test.cc
@@ -152,6 +152,14 @@
   CHECK_FALSE(fixture.gate->FindParent("x.1", deadline));
 }
 
+TEST_CASE("a server of many slots is not filled to the last one") {
+  GateFixture fixture;
+  fixture.SetBackend("i-1", false, 40);
+  CHECK(fixture.gate->LoadNow().limit == 38);
+  fixture.SetBackend("i-2", false, 4);
+  CHECK(fixture.gate->LoadNow().limit == 4);
+}
+
 TEST_CASE("ids of a tree lead to their parent and their root") {
   CHECK(ParentId("a.b.c", '.') == "a.b");
   CHECK(ParentId("a", '.').empty());
