--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -14,7 +14,11 @@
 // News spread through the store within this time of each other.
 constexpr milliseconds kNewsDelay{500};
 constexpr milliseconds kFirstBackoff{60};
+constexpr int kMostDoublings = 5;
 constexpr milliseconds kLongestBackoff{1000};
+// With a copy at hand, there is time: nodes have three seconds after an outage
+// until bounds hold for them again, and refused calls cost as much as others.
+constexpr milliseconds kLongestBackoffWithCopy{1500};
 
 }  // namespace
 
@@ -145,9 +149,10 @@
     this->link_up = false;
     this->on_link(false, reply.message);
   }
-  const auto doublings = std::min(this->faults++, 5);
-  const auto bound =
-      std::min(kLongestBackoff, kFirstBackoff * (1 << doublings));
+  const auto doublings = std::min(this->faults++, kMostDoublings);
+  const auto bound = std::min(
+      this->has_loaded ? kLongestBackoffWithCopy : kLongestBackoff,
+      kFirstBackoff * (1 << doublings));
   const auto wait = bound / 2 + FullJitter(bound / 2, this->rng);
   this->timers->Add(
       this->timers->Now() + wait,
