--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -10,8 +10,8 @@
 using std::chrono::milliseconds;
 
 // A new policy is applied at once. A series of directory rows is gathered,
-// because each answer costs every node a call to the store; a departure is known
-// to its own gate at once, and a new server may wait for some seconds.
+// because each answer costs every node a call to the store; a departure is
+// known to its own gate at once, and a new server may wait for some seconds.
 constexpr milliseconds kPolicyPause{0};
 constexpr milliseconds kDirectoryPause{1800};
 // Reports may come seconds late.
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -150,9 +150,9 @@
     this->on_link(false, reply.message);
   }
   const auto doublings = std::min(this->faults++, kMostDoublings);
-  const auto bound = std::min(
-      this->has_loaded ? kLongestBackoffWithCopy : kLongestBackoff,
-      kFirstBackoff * (1 << doublings));
+  const auto bound =
+      std::min(this->has_loaded ? kLongestBackoffWithCopy : kLongestBackoff,
+               kFirstBackoff * (1 << doublings));
   const auto wait = bound / 2 + FullJitter(bound / 2, this->rng);
   this->timers->Add(
       this->timers->Now() + wait,
