--- a/src/libh1/h1_test.cc
+++ b/src/libh1/h1_test.cc
@@ -82,6 +82,19 @@
   return received;
 }
 
+// Reads until `text` has arrived.
+void ReadUntil(Loop& loop, tcp::socket& socket, const std::string& text) {
+  socket.non_blocking(true);
+  std::string received;
+  loop.RunUntil([&socket, &received, &text] {
+    std::array<char, 1024> buffer{};
+    asio::error_code error;
+    const auto count = socket.read_some(asio::buffer(buffer), error);
+    received.append(buffer.data(), error ? 0 : count);
+    return received.find(text) != std::string::npos;
+  });
+}
+
 // A peer that answers each connection's bytes as a script says.
 class RawServer {
  public:
@@ -243,15 +256,7 @@
   server->StopAccepting();
   asio::write(socket,
               asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
-  socket.non_blocking(true);
-  std::string received;
-  loop.RunUntil([&socket, &received] {
-    std::array<char, 1024> buffer{};
-    asio::error_code error;
-    const auto count = socket.read_some(asio::buffer(buffer), error);
-    received.append(buffer.data(), error ? 0 : count);
-    return received.find("late") != std::string::npos;
-  });
+  ReadUntil(loop, socket, "late");
   asio::error_code refused;
   tcp::socket second(loop.io_context);
   second.connect(EndpointOf(loop.address), refused);
@@ -275,17 +280,8 @@
   asio::write(pending, asio::buffer(request));
   asio::write(accepted, asio::buffer(request));
   server->Shutdown();
-  for (auto* socket : {&accepted, &pending}) {
-    socket->non_blocking(true);
-    std::string received;
-    loop.RunUntil([socket, &received] {
-      std::array<char, 1024> buffer{};
-      asio::error_code error;
-      const auto count = socket->read_some(asio::buffer(buffer), error);
-      received.append(buffer.data(), error ? 0 : count);
-      return received.find("late") != std::string::npos;
-    });
-  }
+  ReadUntil(loop, accepted, "late");
+  ReadUntil(loop, pending, "late");
   loop.RunUntil([&server] { return server->OpenConnections() == 0; });
 }
 
