Keep a refused request at the servers that its route allows

Cause: a request that a server refused is sent there again when no further server may get it. If its gate refused it this time, because the server leaves, the usual way on led to one more server than the route allows. Change: a gate's refusal leads to another node only while the route allows one more server. Figures: the test "a request goes to no more servers than its route allows" fails before (answered 200 by a second server) and passes after.

--- a/src/libmesh/dispatched_call.cc
+++ b/src/libmesh/dispatched_call.cc
@@ -248,7 +248,7 @@
   const auto now = this->owner.timers->Now();
   this->retry_after = std::max(this->retry_after, result.retry_after);
   if (result.reason != Reason::kDeadline && this->reroutes < kMaxReroutes &&
-      now < this->deadline) {
+      this->arrivals < this->route.max_attempts && now < this->deadline) {
     ++this->reroutes;
     ++this->owner.statistics.reroutes;
     this->Attempt();
--- a/src/libmesh/traffic_test.cc
+++ b/src/libmesh/traffic_test.cc
@@ -125,6 +125,29 @@
   CHECK(backend.runs == 4);
 }
 
+TEST_CASE("a request goes to no more servers than its route allows") {
+  FakeBackend second(AnswerWell);
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "back");
+  mesh.AddNode("c", "back");
+  auto route = TestMesh::MakeRoute("back", false);
+  route.max_attempts = 1;
+  FakeBackend* refusing = nullptr;
+  FakeBackend first([&](const std::shared_ptr<h1::Exchange>& exchange) {
+    // The server leaves as it refuses, and another one is known by then.
+    mesh.SetBackend("b", *refusing, true);
+    mesh.SetBackend("c", second);
+    mesh.Publish({route});
+    exchange->Respond({503, {{"Not-Run", "1"}}, {}});
+  });
+  refusing = &first;
+  mesh.SetBackend("b", first);
+  mesh.Publish({route});
+  CHECK(mesh.Call("a", "/back/1", "id").response.status == 503);
+  CHECK(second.runs == 0);
+}
+
 TEST_CASE("a lost answer to work that must not run twice is no refusal") {
   FakeBackend backend([](const std::shared_ptr<h1::Exchange>& exchange) {
     // Success without proof is not the server's own response.
