--- a/src/libmesh/retry_quota.h
+++ b/src/libmesh/retry_quota.h
@@ -31,8 +31,9 @@
   bool Take(const ServiceName& service, double position, SteadyTime now);
 
  private:
-  /// Shares of the shedding order whose demand for repeats is counted apart.
-  static constexpr std::size_t kBins = 4 * 16;
+  /// Shares of the shedding order whose demand for repeats is counted apart, 16
+  /// for each class.
+  static constexpr std::size_t kBins = 64;
   struct Bucket {
     SteadyTime start;
     int firsts = 0;
