Keep the soak from starting a node twice

Cause: two faults that ended the same process both started its successor; the second could not bind, the first was lost from sight and left running. Change: the check stands after the pause, not before it.

--- a/testsuite/harness/soak.py
+++ b/testsuite/harness/soak.py
@@ -231,8 +231,9 @@
                 node.disturb(3)
                 process.kill()
             await asyncio.sleep(0.05)
+        await asyncio.sleep(self.rng.uniform(0.1, 1))
+        # Another fault that waited for the same end may have started it again.
         if node.process is process:
-            await asyncio.sleep(self.rng.uniform(0.1, 1))
             node.start()
 
     async def drain(self, node):
