--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -50,6 +50,23 @@
   return entry;
 }
 
+// A follower that has read a table of one row.
+struct FollowedTable {
+  FollowedTable() {
+    this->store.Put("a", "1");
+    this->follower = TableFollower::Create(
+        this->store, this->loop.timers, "t", milliseconds(0),
+        [this](const RowMap& rows) { this->seen = rows; },
+        [](bool, const std::string&) {});
+    this->follower->Start();
+    this->loop.RunFor(milliseconds(20), this->store);
+  }
+  ControlLoop loop;
+  FakeStore store;
+  RowMap seen;
+  std::shared_ptr<TableFollower> follower;
+};
+
 }  // namespace
 
 TEST_CASE("a late report of a predecessor does not replace its successor") {
@@ -130,16 +147,8 @@
 }
 
 TEST_CASE("a follower reads anew when the store forgot its history") {
-  ControlLoop loop;
-  FakeStore store;
-  store.Put("a", "1");
-  RowMap seen;
-  const auto follower = TableFollower::Create(
-      store, loop.timers, "t", milliseconds(0),
-      [&seen](const RowMap& rows) { seen = rows; },
-      [](bool, const std::string&) {});
-  follower->Start();
-  loop.RunFor(milliseconds(20), store);
+  FollowedTable table;
+  auto& [loop, store, seen, follower] = table;
   store.forget_history = true;
   store.rows.erase("a");
   store.Put("b", "2");
@@ -151,23 +160,15 @@
 
 TEST_CASE(
     "a follower whose call went silent reads anew when others know more") {
-  ControlLoop loop;
-  FakeStore store;
-  store.Put("a", "1");
-  RowMap seen;
-  const auto follower = TableFollower::Create(
-      store, loop.timers, "t", milliseconds(0),
-      [&seen](const RowMap& rows) { seen = rows; },
-      [](bool, const std::string&) {});
-  follower->Start();
-  loop.RunFor(milliseconds(20), store);
+  FollowedTable table;
+  auto& [loop, store, seen, follower] = table;
   store.silent = true;
   store.Put("b", "2");
   loop.RunFor(milliseconds(50), store);
   CHECK(seen.size() == 1);
   store.silent = false;
-  follower->Expect([&seen] { return seen.size() < 2; });
-  follower->Expect([&seen] { return seen.size() < 2; });
+  follower->Expect([&table] { return table.seen.size() < 2; });
+  follower->Expect([&table] { return table.seen.size() < 2; });
   loop.RunFor(milliseconds(700), store);
   CHECK(seen.size() == 2);
   CHECK(store.reads == 2);
