Log requests that are answered without a call

Change: Dispatcher::Reject answers, counts by reason and writes one request_rejected line within the bounded rate. The counter of requests without a route becomes the reason unknown-kind of the failures.

--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include <algorithm>
 #include <random>
 
 #include "dispatched_call.h"
@@ -20,6 +21,8 @@
 constexpr milliseconds kDeadPeerTimeout{1500};
 // Calls that one node has in progress at another in a wave of demand.
 constexpr std::size_t kMaxKeptPerPeer = 48;
+// Enough to tell which route was meant.
+constexpr std::size_t kMaxLoggedPathBytes = 128;
 
 }  // namespace
 
@@ -70,25 +73,24 @@
   ++this->statistics.requests;
   const auto& request = exchange->request();
   if (!this->policy) {
-    Count(this->statistics.failures, Reason::kNoPolicy);
-    exchange->Respond({503, {{"Retry-After", "0.3"}}, {}});
+    this->Reject(*exchange, {503, {{"Retry-After", "0.3"}}, {}},
+                 Reason::kNoPolicy);
     return;
   }
   const auto* host = h1::FindHeader(request.headers, "Host");
   if (host == nullptr || request.target.empty() || request.target[0] != '/') {
-    exchange->Respond({400, {}, {}}, true);
+    this->Reject(*exchange, {400, {}, {}}, Reason::kBadRequest);
     return;
   }
   const auto* route = this->policy->Find(*host, request.target);
   if (route == nullptr) {
-    ++this->statistics.not_found;
-    exchange->Respond({404, {}, {}});
+    this->Reject(*exchange, {404, {}, {}}, Reason::kUnknownKind);
     return;
   }
   if (latest_end &&
       exchange->received() + route->target_latency > *latest_end) {
-    Count(this->statistics.failures, Reason::kLeaving);
-    exchange->Respond({503, {{"Retry-After", "0.2"}}, {}});
+    this->Reject(*exchange, {503, {{"Retry-After", "0.2"}}, {}},
+                 Reason::kLeaving);
     return;
   }
   const auto caller_timeout = ParseMs(
@@ -98,4 +100,29 @@
       ->Run();
 }
 
+void Dispatcher::Reject(h1::Exchange& exchange,
+                        h1::Response response,
+                        Reason reason) {
+  Count(this->statistics.failures, reason);
+  const auto& request = exchange.request();
+  if (this->log.Admit()) {
+    const auto* id =
+        h1::FindHeader(request.headers, this->settings.fields.attempt_id);
+    const auto* host = h1::FindHeader(request.headers, "Host");
+    const auto path = request.target.substr(
+        0, std::min(request.target.find('?'), kMaxLoggedPathBytes));
+    const auto version =
+        this->policy ? this->policy->version() : PolicyVersion(0);
+    this->log.Write(
+        "request_rejected",
+        Text("attempt", id == nullptr ? "" : *id) + "," +
+            Text("host", host == nullptr ? "" : *host) + "," +
+            Text("path", path) + "," + Text("reason", ReasonName(reason)) +
+            "," + Num("status", response.status) + "," +
+            Num("policy", static_cast<std::int64_t>(version.Value())));
+  }
+  // What follows a request that could not be understood is not trusted either.
+  exchange.Respond(std::move(response), reason == Reason::kBadRequest);
+}
+
 }  // namespace cassiakeel::mesh::pvt
--- a/src/libmesh/dispatcher.h
+++ b/src/libmesh/dispatcher.h
@@ -55,6 +55,9 @@
              DecisionLog& log,
              Statistics& statistics);
 
+  // Answers a request for which no call was made.
+  void Reject(h1::Exchange& exchange, h1::Response response, Reason reason);
+
   std::shared_ptr<h1::TimerQueue> timers;
   const MeshSettings& settings;
   BackendGate& gate;
--- a/src/libmesh/mesh_test_support.h
+++ b/src/libmesh/mesh_test_support.h
@@ -1,13 +1,21 @@
 #pragma once
 
+#include <log4cxx/fileappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <unistd.h>
+
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <filesystem>
+#include <fstream>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <thread>
@@ -193,6 +201,46 @@
   std::map<std::string, std::unique_ptr<MeshNode>> nodes;
 };
 
+/// Keeps the decision log of its lifetime in a file of its own.
+class LoggedLines {
+ public:
+  LoggedLines()
+      : path(std::filesystem::temp_directory_path() /
+             ("cassiakeel-mesh-test-" + std::to_string(::getpid()))),
+        logger(log4cxx::Logger::getLogger("cassiakeel.mesh")),
+        appender(std::make_shared<log4cxx::FileAppender>(
+            std::make_shared<log4cxx::PatternLayout>("%m%n"),
+            this->path.string(),
+            false)) {
+    this->logger->addAppender(this->appender);
+  }
+  ~LoggedLines() {
+    this->logger->removeAppender(this->appender);
+    this->appender->close();
+    std::filesystem::remove(this->path);
+  }
+  LoggedLines(const LoggedLines&) = delete;
+  LoggedLines& operator=(const LoggedLines&) = delete;
+
+  /// The lines about the request.
+  std::vector<nlohmann::json> Of(const std::string& attempt) const {
+    std::vector<nlohmann::json> lines;
+    std::ifstream file(this->path);
+    for (std::string line; std::getline(file, line);) {
+      auto fields = nlohmann::json::parse(line);
+      if (fields.value("attempt", "") == attempt) {
+        lines.push_back(std::move(fields));
+      }
+    }
+    return lines;
+  }
+
+ private:
+  std::filesystem::path path;
+  log4cxx::LoggerPtr logger;
+  log4cxx::AppenderPtr appender;
+};
+
 /// A shared store in memory whose calls wait until the test lets them end.
 class FakeStore final : public SharedStore {
  public:
--- a/src/libmesh/metrics.cc
+++ b/src/libmesh/metrics.cc
@@ -68,8 +68,6 @@
       Counter("cassiakeel_answered_total",
               "Requests answered with a response of a backend server",
               s.answered),
-      Counter("cassiakeel_not_found_total", "Requests without a route",
-              s.not_found),
       Counter("cassiakeel_caller_gone_total",
               "Requests whose caller left before the answer", s.caller_gone),
       Counter("cassiakeel_repeats_total",
--- a/src/libmesh/statistics.h
+++ b/src/libmesh/statistics.h
@@ -32,7 +32,6 @@
 struct Statistics {
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;
-  std::uint64_t not_found = 0;
   std::uint64_t repeats = 0;
   std::uint64_t repeats_denied = 0;
   std::uint64_t reroutes = 0;
--- a/src/libmesh/traffic_test.cc
+++ b/src/libmesh/traffic_test.cc
@@ -58,6 +58,31 @@
   CHECK(mesh.Call("a", "/backwards/1", "id").response.status == 404);
 }
 
+// Guards against a request whose end no log line explains.
+TEST_CASE("a request that is answered without a call has a line in the log") {
+  const LoggedLines log;
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.Call("a", "/back/1", "early");
+  mesh.Publish({TestMesh::MakeRoute("back", true)});
+  mesh.Call("a", "/none/1?token=x", "lost");
+  mesh.Call("a", "*", "bad");
+  const auto check = [&log](const std::string& id, const char* reason,
+                            int status, int policy) {
+    INFO(id);
+    const auto lines = log.Of(id);
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["event"] == "request_rejected");
+    CHECK(lines[0]["reason"] == reason);
+    CHECK(lines[0]["status"] == status);
+    CHECK(lines[0]["policy"] == policy);
+  };
+  check("early", "no-policy", 503, 0);
+  check("lost", "unknown-kind", 404, 1);
+  check("bad", "bad-request", 400, 1);
+  CHECK(log.Of("lost")[0]["path"] == "/none/1");
+}
+
 TEST_CASE("without a policy a request is refused, not called unknown") {
   TestMesh mesh;
   mesh.AddNode("a", "front");
