Hand policy and directory to a node that the store does not serve

Nodes restarted in turn while the store was silent knew their backend server, but no policy, and answered 503 to all that began on their machines until the store was back.

Change: a node without a policy or a directory says so in one result of a call every 0.4 s, from 0.3 s after its start on. The node that made the call posts it the row of its policy in force and its directory. They are taken only where nothing better is known; the store's rows replace them.

The new case of mesh_test fails where results never ask.

--- a/src/include/cassiakeel/mesh/call.h
+++ b/src/include/cassiakeel/mesh/call.h
@@ -93,6 +93,8 @@
   double shed_level = 0;
   std::chrono::nanoseconds service_time{0};
   StateVersions sender;
+  /// The sender has no policy or no directory and asks for them.
+  bool wants_state = false;
 };
 
 /// Class of a route's rank, 0 for the most important.
--- a/src/include/cassiakeel/mesh/control.h
+++ b/src/include/cassiakeel/mesh/control.h
@@ -50,6 +50,11 @@
   void OnReport(const BackendReport& report, std::function<void()> applied);
   /// Another node has these versions of the control state.
   void OnPeerVersions(const StateVersions& peer);
+  /// Sends the policy in force and the directory to the node at `address`,
+  /// which the store does not serve.
+  void OnStateWanted(const PeerAddress& address);
+  /// Takes state of another node where the store has not served this one yet.
+  void OnPeerState(const std::string& state);
   void OnDeparture(const InstanceId& instance,
                    std::int64_t started_at_ms,
                    std::function<void()> applied);
--- a/src/include/cassiakeel/mesh/node.h
+++ b/src/include/cassiakeel/mesh/node.h
@@ -12,6 +12,17 @@
 
 namespace cassiakeel::mesh {
 
+/// What a node learns from others about control state. The handlers run on the
+/// traffic thread.
+struct PeerHandlers {
+  /// Another node has newer versions.
+  std::function<void(const StateVersions& peer)> on_news;
+  /// The node at this address asks for state.
+  std::function<void(const PeerAddress& address)> on_state_wanted;
+  /// Another node has sent its state, because this one asked.
+  std::function<void(const std::string& state)> on_state;
+};
+
 /// The traffic side of a node on a thread of its own: takes requests of this
 /// machine, serves calls for the backend server beside it, and answers
 /// questions on readiness. All members may be called from any thread; state
@@ -30,9 +41,10 @@
   void SetPolicy(std::shared_ptr<const TrafficPolicy> policy);
   void SetDirectory(std::shared_ptr<const Directory> directory,
                     std::uint64_t version);
-  /// `handler` runs on the traffic thread when another node turns out to have
-  /// newer state. Call before `Start`.
-  void OnNews(std::function<void(const StateVersions&)> handler);
+  /// Call before `Start`.
+  void SetPeerHandlers(PeerHandlers handlers);
+  /// Hands control state, as text, to the node at `address`.
+  void SendState(const PeerAddress& address, std::string state);
   /// `applied` runs on the traffic thread once no new work of before can start.
   void SetBackend(LocalBackend backend, std::function<void()> applied = {});
   /// Leaves without cutting off a request: not ready from now on, ends when
--- a/src/include/cassiakeel/mesh/table_follower.h
+++ b/src/include/cassiakeel/mesh/table_follower.h
@@ -37,6 +37,8 @@
   /// Unless it arrives shortly, the table is read anew on another connection.
   void Expect(std::function<bool()> behind);
   bool loaded() const { return this->has_loaded; }
+  /// All rows as last read.
+  const RowMap& rows() const { return this->copy; }
   std::uint64_t version() const { return this->seen_version; }
 
  private:
--- a/src/libmesh/call.cc
+++ b/src/libmesh/call.cc
@@ -138,11 +138,12 @@
               std::to_string(result.service_time.count() / 1000),
               Scaled(result.shed_level), std::to_string(result.sender.policy),
               std::to_string(result.sender.directory),
-              std::to_string(static_cast<int>(result.call_failed)));
+              std::to_string(static_cast<int>(result.call_failed)),
+              std::to_string(static_cast<int>(result.wants_state)));
 }
 
 Result<ServeResult> ParseResult(const std::string& text) {
-  const auto numbers = Numbers<14>(Split(text), 0);
+  const auto numbers = Numbers<15>(Split(text), 0);
   if (!numbers) {
     return Fail("parse result", "malformed field " + text);
   }
@@ -171,6 +172,7 @@
   result.sender = {static_cast<std::uint64_t>(n[11]),
                    static_cast<std::uint64_t>(n[12])};
   result.call_failed = n[13] != 0;
+  result.wants_state = n[14] != 0;
   return result;
 }
 
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "decision_log.h"
+#include "peer_state.h"
 
 namespace cassiakeel::mesh {
 namespace {
@@ -81,6 +82,30 @@
     }
   }
 
+  void OnStateWanted(const PeerAddress& address) {
+    if (this->policy_in_force.empty() || !this->directory_rows->loaded()) {
+      return;
+    }
+    this->node.SendState(
+        address, pvt::EncodePeerState(
+                     {this->policy_in_force, this->directory_rows->rows()}));
+  }
+
+  void OnPeerState(const std::string& text) {
+    const auto state = pvt::DecodePeerState(text);
+    if (!state) {
+      this->log.Write("state_refused",
+                      pvt::Text("cause", state.error().ToString()));
+      return;
+    }
+    if (this->policy_in_force.empty()) {
+      this->OnPolicyRows(state->policy);
+    }
+    if (!this->directory_rows->loaded()) {
+      this->ApplyDirectory(state->directory, "peer");
+    }
+  }
+
  private:
   TableFollower::LinkHandler LinkLogger(const std::string& table) {
     return [this, table](bool up, const std::string& cause) {
@@ -140,21 +165,27 @@
             pvt::Num("routes",
                      static_cast<std::int64_t>((*policy)->routes().size())));
     this->policy_version = version;
+    this->policy_in_force = {*found};
     this->node.SetPolicy(*policy);
   }
 
   void OnDirectoryRows(const RowMap& rows) {
     this->registrar->OnRows(rows);
+    this->ApplyDirectory(rows, "store");
+  }
+
+  void ApplyDirectory(const RowMap& rows, std::string_view source) {
     auto directory = std::make_shared<const Directory>(DecodeDirectory(rows));
+    for (const auto& [key, row] : rows) {
+      this->directory_version = std::max(this->directory_version, row.version);
+    }
     this->log.Write(
         "directory",
         pvt::Num("entries", static_cast<std::int64_t>(directory->size())) +
             "," +
-            pvt::Num("version", static_cast<std::int64_t>(
-                                    this->directory_rows->version())));
-    for (const auto& [key, row] : rows) {
-      this->directory_version = std::max(this->directory_version, row.version);
-    }
+            pvt::Num("version",
+                     static_cast<std::int64_t>(this->directory_version)) +
+            "," + pvt::Text("source", source));
     this->RestoreBackend(*directory);
     this->node.SetDirectory(std::move(directory), this->directory_version);
   }
@@ -188,6 +219,9 @@
   std::shared_ptr<TableFollower> policy_rows;
   std::shared_ptr<TableFollower> directory_rows;
   PolicyVersion policy_version;
+  /// The row that the policy was read from; the store may hold a later one that
+  /// was refused.
+  RowMap policy_in_force;
   std::uint64_t directory_version = 0;
   std::function<void()> on_applied;
 };
@@ -222,6 +256,14 @@
   this->impl->OnPeerVersions(peer);
 }
 
+void MeshControl::OnStateWanted(const PeerAddress& address) {
+  this->impl->OnStateWanted(address);
+}
+
+void MeshControl::OnPeerState(const std::string& state) {
+  this->impl->OnPeerState(state);
+}
+
 void MeshControl::OnDeparture(const InstanceId& instance,
                               std::int64_t started_at_ms,
                               std::function<void()> applied) {
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -1,10 +1,12 @@
 #include <rapidcheck.h>
 
 #include "cassiakeel/mesh/backend_watch.h"
+#include "cassiakeel/mesh/control.h"
 #include "cassiakeel/mesh/registrar.h"
 #include "cassiakeel/mesh/table_follower.h"
 #include "entry_level.h"
 #include "mesh_test_support.h"
+#include "peer_state.h"
 #include "retry_quota.h"
 
 namespace cassiakeel::mesh {
@@ -50,6 +52,50 @@
   return entry;
 }
 
+Result<std::shared_ptr<const TrafficPolicy>> DecodeTestPolicy(
+    const std::string& value) {
+  if (value == "bad") {
+    return Fail("decode policy", value);
+  }
+  return std::make_shared<const TrafficPolicy>(
+      PolicyVersion(std::stoul(value)),
+      std::vector<Route>{TestMesh::MakeRoute("back", true)}, InputLimits());
+}
+
+// A node with its control state and a store of its own.
+class ControlledNode {
+ public:
+  ControlledNode(TestMesh& mesh, ControlLoop& loop, const std::string& name)
+      : loop(loop),
+        node(mesh.AddNode(name, "back", milliseconds(6000), this->Handlers())),
+        control(MeshControl::Create(mesh.settings[name],
+                                    {"policies", "config", "nodes"},
+                                    this->store,
+                                    loop.timers,
+                                    loop.clock,
+                                    this->node,
+                                    DecodeTestPolicy)) {}
+
+  FakeStore store;
+  ControlLoop& loop;
+  MeshNode& node;
+  std::unique_ptr<MeshControl> control;
+
+ private:
+  PeerHandlers Handlers() {
+    return {{},
+            [this](const PeerAddress& address) {
+              asio::post(this->loop.io_context, [this, address] {
+                this->control->OnStateWanted(address);
+              });
+            },
+            [this](const std::string& state) {
+              asio::post(this->loop.io_context,
+                         [this, state] { this->control->OnPeerState(state); });
+            }};
+  }
+};
+
 // A follower that has read a table of one row.
 struct FollowedTable {
   FollowedTable() {
@@ -357,6 +403,7 @@
   result.reason = Reason::kOverload;
   result.shed_level = 1.5;
   result.call_failed = true;
+  result.wants_state = true;
   result.load.limit = 9;
   const auto parsed = ParseResult(FormatResult(result));
   REQUIRE(parsed);
@@ -364,8 +411,58 @@
   CHECK(parsed->shed_level == Approx(1.5));
   CHECK(parsed->load.limit == 9);
   CHECK(parsed->call_failed);
+  CHECK(parsed->wants_state);
   CHECK_FALSE(ParseCall("a|b"));
-  CHECK_FALSE(ParseResult("9|0|0|0|0|0|0|0|0|0|0|0|0|0"));
+  CHECK_FALSE(ParseResult("9|0|0|0|0|0|0|0|0|0|0|0|0|0|0"));
+}
+
+// Guards against a node that refuses all that begins on its machine because it
+// was restarted while the store was away.
+TEST_CASE("a node that the store does not serve gets its state from a peer") {
+  FakeBackend backend([](const std::shared_ptr<h1::Exchange>& exchange) {
+    exchange->Respond(FakeBackend::Success(exchange->request()));
+  });
+  ControlLoop loop;
+  TestMesh mesh;
+  ControlledNode a(mesh, loop, "a");
+  ControlledNode b(mesh, loop, "b");
+  mesh.SetBackend("b", backend);
+  a.store.Put("b", EncodeEntry(mesh.directory[NodeId("b")]));
+  a.store.Put("config", "7");
+  b.store.down = true;
+  a.control->Start();
+  b.control->Start();
+  const auto run = [&](int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      loop.RunFor(milliseconds(10), a.store);
+      loop.RunFor(milliseconds(10), b.store);
+    }
+  };
+  run(1);
+  CHECK(mesh.Call("b", "/back/1", "early").response.status == 503);
+  // The store holds a policy that nobody may use, and the one in force is
+  // handed over.
+  a.store.Put("config", "bad");
+  for (int i = 0; i < 40; ++i) {
+    CHECK(mesh.Call("a", "/back/1", "x").response.status == 200);
+    run(2);
+    if (mesh.Call("b", "/back/1", "y").response.status == 200) {
+      break;
+    }
+  }
+  CHECK(mesh.Call("b", "/back/1", "late").response.status == 200);
+}
+
+TEST_CASE("state of a peer that cannot be read changes nothing") {
+  CHECK_FALSE(pvt::DecodePeerState("{}"));
+  CHECK_FALSE(pvt::DecodePeerState("[1"));
+  CHECK_FALSE(pvt::DecodePeerState(
+      R"({"policy":[],"directory":[{"key":"a","value":1,"version":2}]})"));
+  const RowMap rows{{"a", {"a", "x", 3, false}}};
+  const auto state = pvt::DecodePeerState(pvt::EncodePeerState({{}, rows}));
+  REQUIRE(state);
+  CHECK(state->policy.empty());
+  CHECK(state->directory.at("a").version == 3);
 }
 
 TEST_CASE("the longest prefix wins and weights divide the requests") {
--- a/src/libmesh/dispatched_call.cc
+++ b/src/libmesh/dispatched_call.cc
@@ -200,6 +200,11 @@
   if (this->owner.on_peer_versions) {
     this->owner.on_peer_versions(result.sender);
   }
+  const auto known = pool.index.find(this->node);
+  if (result.wants_state && this->owner.on_state_wanted &&
+      known != pool.index.end()) {
+    this->owner.on_state_wanted(pool.endpoints[known->second].address);
+  }
   const bool failed = result.reason == Reason::kConnectFailed ||
                       result.reason == Reason::kConnectionLost ||
                       result.reason == Reason::kTimeout;
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "dispatched_call.h"
 #include "header_values.h"
+#include "peer_state.h"
 
 namespace cassiakeel::mesh::pvt {
 namespace {
@@ -21,6 +22,8 @@
 constexpr milliseconds kDeadPeerTimeout{1500};
 // Calls that one node has in progress at another in a wave of demand.
 constexpr std::size_t kMaxKeptPerPeer = 48;
+// A few round trips for a directory of a thousand rows on a loaded machine.
+constexpr milliseconds kStateTimeout{2000};
 // Enough to tell which route was meant.
 constexpr std::size_t kMaxLoggedPathBytes = 128;
 
@@ -100,6 +103,20 @@
       ->Run();
 }
 
+void Dispatcher::SendState(const PeerAddress& address, std::string state) {
+  h1::Fetch fetch;
+  fetch.peer = address;
+  fetch.request = {
+      "POST", kPeerStatePath, {{"Host", address.Value()}}, std::move(state)};
+  fetch.deadline = this->timers->Now() + kStateTimeout;
+  this->client->Start(std::move(fetch), [this, address](
+                                            const h1::FetchResult& result) {
+    this->log.Write("state_sent", Text("to", address.Value()) + "," +
+                                      Num("status", result.response.status) +
+                                      "," + Text("cause", result.message));
+  });
+}
+
 void Dispatcher::Reject(h1::Exchange& exchange,
                         h1::Response response,
                         Reason reason) {
--- a/src/libmesh/dispatcher.h
+++ b/src/libmesh/dispatcher.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "backend_gate.h"
 #include "cassiakeel/base/random.h"
@@ -38,6 +39,13 @@
   void OnPeerVersions(std::function<void(const StateVersions&)> handler) {
     this->on_peer_versions = std::move(handler);
   }
+  /// Called with the address of a node that asks for control state.
+  void OnStateWanted(std::function<void(const PeerAddress&)> handler) {
+    this->on_state_wanted = std::move(handler);
+  }
+  /// Hands control state to the node at `address`; one that does not get it
+  /// asks again.
+  void SendState(const PeerAddress& address, std::string state);
   /// A request of a client or of the backend server beside this node. With
   /// `latest_end`, it is refused unless its target latency ends before that,
   /// and given no more time.
@@ -68,6 +76,7 @@
   ServicePools pools;
   StateVersions versions;
   std::function<void(const StateVersions&)> on_peer_versions;
+  std::function<void(const PeerAddress&)> on_state_wanted;
   RetryQuota quota;
   EntryLevels entry_levels;
   Rng rng;
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -11,6 +11,7 @@
 #include "dispatcher.h"
 #include "header_values.h"
 #include "metrics.h"
+#include "peer_state.h"
 
 namespace cassiakeel::mesh {
 namespace {
@@ -31,6 +32,11 @@
 // off by its end.
 constexpr milliseconds kDispatchWhileStopping{2800};
 constexpr milliseconds kAnswerReserve{250};
+// Many times what the store takes to answer a read.
+constexpr milliseconds kStateAskDelay{300};
+// Longer than a peer takes to hand over a directory of a thousand rows, so that
+// few send it at the same time.
+constexpr milliseconds kStateAskInterval{400};
 
 }  // namespace
 
@@ -91,6 +97,7 @@
   }
 
   void Start() {
+    this->next_state_ask = this->clock.Now() + kStateAskDelay;
     this->thread = std::thread([this] { this->io_context.run(); });
   }
 
@@ -116,10 +123,15 @@
     this->dispatcher->SetPolicy(std::move(next));
   }
 
-  void OnNews(std::function<void(const StateVersions&)> handler) {
-    this->on_news = std::move(handler);
+  void SetPeerHandlers(PeerHandlers handlers) {
+    this->peers = std::move(handlers);
     this->dispatcher->OnPeerVersions(
         [this](const StateVersions& peer) { this->NotePeer(peer); });
+    this->dispatcher->OnStateWanted(this->peers.on_state_wanted);
+  }
+
+  void SendState(const PeerAddress& address, std::string state) {
+    this->dispatcher->SendState(address, std::move(state));
   }
 
   void SetDirectory(std::shared_ptr<const Directory> next,
@@ -164,11 +176,29 @@
     }
     this->told.policy = std::max(this->told.policy, peer.policy);
     this->told.directory = std::max(this->told.directory, peer.directory);
-    if (this->on_news) {
-      this->on_news(this->told);
+    if (this->peers.on_news) {
+      this->peers.on_news(this->told);
     }
   }
 
+  // True for one result at a time while the store has not given this node what
+  // it needs to send requests.
+  bool AsksForState() {
+    const auto now = this->clock.Now();
+    if ((this->policy && this->has_directory) || now < this->next_state_ask) {
+      return false;
+    }
+    this->next_state_ask = now + kStateAskInterval;
+    return true;
+  }
+
+  void TakeState(h1::Exchange& exchange) {
+    if (this->peers.on_state) {
+      this->peers.on_state(exchange.request().body);
+    }
+    exchange.Respond({200, {}, {}});
+  }
+
   bool StoppingFor(milliseconds time) const {
     return this->stopping && this->clock.Now() - this->stop_began >= time;
   }
@@ -195,6 +225,10 @@
       return;
     }
     auto& request = exchange->request();
+    if (request.target == pvt::kPeerStatePath) {
+      this->TakeState(*exchange);
+      return;
+    }
     const auto* text = h1::FindHeader(request.headers, kCallField);
     const auto timeout = pvt::ParseMs(
         h1::FindHeader(request.headers, this->settings.fields.timeout_ms));
@@ -222,6 +256,7 @@
     result.load.leaving =
         result.load.leaving || this->StoppingFor(kServeWhileStopping);
     result.sender = this->versions;
+    result.wants_state = this->AsksForState();
     auto response = std::move(result.response);
     if (result.outcome != Outcome::kRan) {
       response = {result.outcome == Outcome::kNotRun ? 503 : 502, {}, {}};
@@ -279,7 +314,8 @@
   std::shared_ptr<const TrafficPolicy> policy;
   StateVersions versions;
   StateVersions told;
-  std::function<void(const StateVersions&)> on_news;
+  PeerHandlers peers;
+  SteadyTime next_state_ask;
   std::size_t directory_size = 0;
   bool has_directory = false;
   bool stopping = false;
@@ -317,8 +353,15 @@
                     version] { impl->SetDirectory(directory, version); });
 }
 
-void MeshNode::OnNews(std::function<void(const StateVersions&)> handler) {
-  this->impl->OnNews(std::move(handler));
+void MeshNode::SetPeerHandlers(PeerHandlers handlers) {
+  this->impl->SetPeerHandlers(std::move(handlers));
+}
+
+void MeshNode::SendState(const PeerAddress& address, std::string state) {
+  this->impl->Post(
+      [impl = this->impl.get(), address, state = std::move(state)] {
+        impl->SendState(address, state);
+      });
 }
 
 void MeshNode::SetBackend(LocalBackend backend, std::function<void()> applied) {
--- /dev/null
+++ b/src/libmesh/peer_state.cc
@@ -0,0 +1,49 @@
+#include "peer_state.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cassiakeel::mesh::pvt {
+namespace {
+
+using nlohmann::json;
+
+json EncodeRows(const RowMap& rows) {
+  json list = json::array();
+  for (const auto& [key, row] : rows) {
+    list.push_back(
+        {{"key", key}, {"value", row.value}, {"version", row.version}});
+  }
+  return list;
+}
+
+RowMap DecodeRows(const json& list) {
+  RowMap rows;
+  for (const auto& item : list) {
+    StoredRow row;
+    row.key = item.at("key").get<std::string>();
+    row.value = item.at("value").get<std::string>();
+    row.version = item.at("version").get<std::uint64_t>();
+    rows[row.key] = std::move(row);
+  }
+  return rows;
+}
+
+}  // namespace
+
+std::string EncodePeerState(const PeerState& state) {
+  return json{{"policy", EncodeRows(state.policy)},
+              {"directory", EncodeRows(state.directory)}}
+      .dump();
+}
+
+Result<PeerState> DecodePeerState(const std::string& text) {
+  try {
+    const auto object = json::parse(text);
+    return PeerState{DecodeRows(object.at("policy")),
+                     DecodeRows(object.at("directory"))};
+  } catch (const json::exception& error) {
+    return Fail("decode state of a peer", error.what());
+  }
+}
+
+}  // namespace cassiakeel::mesh::pvt
