Set the shed level by the starts of half a second

When a wave of demand fills all slots at once, no call starts until the first ones end, half a second later. A window of 100 ms without a start took the server's capacity as none and shed all but the most important calls (level 3.28 of 4 at second 1); the nodes where requests begin took that level over, and lowered it by 0.4 a second only.

Change: starts are averaged over five windows.

The new case of admission_test gives a level of 0.95 before, 0.4 after.

--- a/src/libadmission/admission_test.cc
+++ b/src/libadmission/admission_test.cc
@@ -326,6 +326,25 @@
 
 // Guards against a restarted node holding back a warm server, and against a
 // limit that falls because calls to other services are slow.
+// Guards against a server that seems to finish nothing, and so sheds all, while
+// the calls of its first burst run side by side.
+TEST_CASE("a window without a start sheds no more than the ones before tell") {
+  ShedState state;
+  state.window_start = kStartTime;
+  state.starts = 100;
+  SteadyTime now = kStartTime;
+  for (int window = 0; window < kStartWindows; ++window) {
+    // Forty arrivals a window, evenly over the least important class.
+    for (int i = 0; i < 40; ++i) {
+      CountArrival(state, (i + 0.5) / 40);
+    }
+    now += milliseconds(100);
+    RollShed(state, true, now);
+  }
+  // Twenty starts a window, and a fifth more are admitted.
+  CHECK(state.level == Approx(1 - 24.0 / 40).margin(0.05));
+}
+
 TEST_CASE("a fixed limit starts at the ceiling and stays there") {
   Config config;
   config.slots = Slots(10);
--- a/src/libadmission/shed.cc
+++ b/src/libadmission/shed.cc
@@ -1,6 +1,7 @@
 #include "cassiakeel/admission/shed.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace cassiakeel::admission {
 namespace {
@@ -12,6 +13,14 @@
 constexpr double kBinsPerClass =
     static_cast<double>(kShedBins) / kRequestClassCount;
 
+// Average over the latest windows.
+double StartsPerWindow(const ShedState& state) {
+  const int known = std::min(state.past_windows, kStartWindows);
+  return static_cast<double>(std::accumulate(
+             state.past_starts.begin(), state.past_starts.begin() + known, 0)) /
+         known;
+}
+
 }  // namespace
 
 void CountArrival(ShedState& state, double position) {
@@ -25,8 +34,13 @@
   }
   state.level = 0;
   // After a longer silence the counts say nothing about the present.
-  if (delayed && now - state.window_start < 2 * kWindow) {
-    const double admit = std::max(1.0, state.starts * kAdmitFactor);
+  const bool recent = now - state.window_start < 2 * kWindow;
+  if (!recent) {
+    state.past_windows = 0;
+  }
+  state.past_starts[state.past_windows++ % kStartWindows] = state.starts;
+  if (delayed && recent) {
+    const double admit = std::max(1.0, StartsPerWindow(state) * kAdmitFactor);
     double above = 0;
     for (int bin = kShedBins - 1; bin >= 0; --bin) {
       above += state.arrivals[bin];
