--- a/src/libadmission/admission_test.cc
+++ b/src/libadmission/admission_test.cc
@@ -5,7 +5,7 @@
 #include <set>
 
 #include "cassiakeel/admission/state.h"
-#include "cassiakeel/base/random.h"
+#include "cassiakeel/base/alter_text.h"
 
 namespace cassiakeel::admission {
 namespace {
@@ -265,12 +265,7 @@
   CHECK(FormatLoad(*parsed) == text);
   Rng rng(5);
   for (int i = 0; i < 50000; ++i) {
-    std::string altered = text;
-    for (auto edits = rng() % 4; edits > 0; --edits) {
-      altered[rng() % altered.size()] = static_cast<char>(rng());
-    }
-    altered.resize(rng() % 2 == 0 ? altered.size() : rng() % altered.size());
-    if (const auto result = ParseLoad(altered)) {
+    if (const auto result = ParseLoad(AlterText(text, rng))) {
       CHECK(result->in_flight >= 0);
       CHECK(result->limit >= 0);
     }
--- a/src/libh1/h1_test.cc
+++ b/src/libh1/h1_test.cc
@@ -6,8 +6,10 @@
 #include <optional>
 #include <thread>
 
+#include "cassiakeel/base/alter_text.h"
 #include "cassiakeel/h1/client.h"
 #include "cassiakeel/h1/server.h"
+#include "parser.h"
 
 namespace cassiakeel::h1 {
 namespace {
@@ -196,6 +198,59 @@
   CHECK(served == 0);
 }
 
+// Guards against bytes that make the parser read past a message, exceed its
+// limits or tell another message when they arrive in other pieces.
+TEST_CASE("altered messages give the same verdict in one piece and in many") {
+  struct Verdict {
+    pvt::ParseState state = pvt::ParseState::kNeedMore;
+    std::string head;
+    std::string body;
+    std::size_t used = 0;
+    bool operator==(const Verdict&) const = default;
+  };
+  const MessageLimits limits{200, 50};
+  const auto parse = [&limits](pvt::Parser::Kind kind, const std::string& text,
+                               std::size_t piece) {
+    pvt::Parser parser(kind, limits);
+    Verdict verdict;
+    while (verdict.state == pvt::ParseState::kNeedMore &&
+           verdict.used < text.size()) {
+      std::size_t used = 0;
+      verdict.state =
+          parser.Feed(std::string_view(text).substr(verdict.used, piece), used);
+      verdict.used += used;
+      if (used == 0) {
+        break;
+      }
+    }
+    CHECK(parser.body.size() <= limits.body_bytes);
+    if (verdict.state == pvt::ParseState::kFailed) {
+      return Verdict{verdict.state, {}, {}, 0};
+    }
+    verdict.head = parser.method + " " + parser.target + " " +
+                   std::to_string(parser.status);
+    for (const auto& [name, value] : parser.headers) {
+      verdict.head.append("\n").append(name).append(":").append(value);
+    }
+    verdict.body = parser.body;
+    return verdict;
+  };
+  const std::string request =
+      "POST /a?b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n0\r\n\r\n";
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX: y\r\n\r\nhello";
+  Rng rng(3);
+  for (int i = 0; i < 20000; ++i) {
+    const bool is_request = rng() % 2 == 0;
+    const auto kind =
+        is_request ? pvt::Parser::Kind::kRequest : pvt::Parser::Kind::kResponse;
+    const auto text = AlterText(is_request ? request : response, rng);
+    INFO(text);
+    CHECK(parse(kind, text, text.size()) == parse(kind, text, 1 + rng() % 7));
+  }
+}
+
 TEST_CASE("pipelined requests are answered in order") {
   Loop loop;
   const auto server = loop.Serve([](std::shared_ptr<Exchange> exchange) {
--- a/src/libmesh/call.cc
+++ b/src/libmesh/call.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -12,6 +13,8 @@
 
 // Precision of ranks and shed levels between nodes.
 constexpr double kLevelScale = 10000;
+// Eleven days; longer times are damaged text.
+constexpr std::int64_t kLongestMs = 1'000'000'000;
 
 std::string Scaled(double value) {
   return std::to_string(static_cast<std::int64_t>(value * kLevelScale));
@@ -46,6 +49,10 @@
   return value;
 }
 
+bool InRange(std::int64_t value, std::int64_t most) {
+  return value >= 0 && value <= most;
+}
+
 template <typename... Parts>
 std::string Join(const Parts&... parts) {
   std::string out;
@@ -113,6 +120,13 @@
   }
   const auto& [priority, idempotent, target, repeat, rank, policy, directory] =
       *numbers;
+  const bool in_range = InRange(priority, std::numeric_limits<int>::max()) &&
+                        InRange(target, kLongestMs) &&
+                        InRange(rank, static_cast<std::int64_t>(kLevelScale)) &&
+                        policy >= 0 && directory >= 0;
+  if (parts[0].empty() || !in_range) {
+    return Fail("parse call", "value out of range in " + text);
+  }
   return CallInfo{ServiceName(std::string(parts[0])),
                   ServiceName(std::string(parts[1])),
                   std::string(parts[2]),
@@ -153,8 +167,16 @@
       static_cast<std::int64_t>(Reason::kServerRefused);
   constexpr auto kLastClass =
       static_cast<std::int64_t>(RequestClass::kBackground);
-  if (n[0] < 0 || n[0] > kLastOutcome || n[1] < 0 || n[1] > kLastReason ||
-      n[7] < 0 || n[7] > kLastClass) {
+  constexpr auto kMostCalls = std::numeric_limits<int>::max();
+  constexpr auto kMostLevel =
+      static_cast<std::int64_t>(kRequestClassCount * kLevelScale);
+  const bool in_range =
+      InRange(n[0], kLastOutcome) && InRange(n[1], kLastReason) &&
+      InRange(n[3], kLongestMs) && InRange(n[4], kMostCalls) &&
+      InRange(n[5], kMostCalls) && InRange(n[6], kMostCalls) &&
+      InRange(n[7], kLastClass) && InRange(n[9], kLongestMs * 1000) &&
+      InRange(n[10], kMostLevel) && n[11] >= 0 && n[12] >= 0;
+  if (!in_range) {
     return Fail("parse result", "value out of range in " + text);
   }
   ServeResult result;
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -1,5 +1,6 @@
 #include <rapidcheck.h>
 
+#include "cassiakeel/base/alter_text.h"
 #include "cassiakeel/mesh/backend_watch.h"
 #include "cassiakeel/mesh/control.h"
 #include "cassiakeel/mesh/registrar.h"
@@ -391,7 +392,8 @@
                       0.25,
                       true,
                       milliseconds(300),
-                      true};
+                      true,
+                      {}};
   const auto call = ParseCall(FormatCall(info));
   REQUIRE(call);
   CHECK(call->service == info.service);
@@ -465,6 +467,46 @@
   CHECK(state->directory.at("a").version == 3);
 }
 
+// Guards against a peer or a row of the store whose bytes were damaged: what is
+// accepted is in range, and nothing else is.
+TEST_CASE("altered messages between nodes and rows never do harm") {
+  CallInfo info;
+  info.service = ServiceName("s");
+  info.route = "r";
+  info.tree_rank = 0.5;
+  ServeResult result;
+  result.outcome = Outcome::kNotRun;
+  result.reason = Reason::kOverload;
+  result.load.limit = 9;
+  const std::string row = EncodeEntry(Entry("i"));
+  const std::string state =
+      pvt::EncodePeerState({{}, {{"n", {"n", row, 3, false}}}});
+  Rng rng(7);
+  for (int i = 0; i < 20000; ++i) {
+    if (const auto call = ParseCall(AlterText(FormatCall(info), rng))) {
+      CHECK(call->tree_rank >= 0);
+      CHECK(call->tree_rank <= 1);
+      CHECK(call->target_latency.count() >= 0);
+      CHECK(ParseCall(FormatCall(*call)));
+    }
+    if (const auto parsed = ParseResult(AlterText(FormatResult(result), rng))) {
+      CHECK(static_cast<int>(parsed->outcome) <=
+            static_cast<int>(Outcome::kUnknown));
+      CHECK(parsed->load.in_flight >= 0);
+      CHECK(parsed->load.limit >= 0);
+      CHECK(parsed->load.queued >= 0);
+      CHECK(parsed->retry_after.count() >= 0);
+      CHECK(parsed->shed_level >= 0);
+      CHECK(ParseResult(FormatResult(*parsed)));
+    }
+    if (const auto entry = DecodeEntry("n", AlterText(row, rng))) {
+      CHECK(entry->slots.Value() >= 1);
+    }
+    const auto rows = pvt::DecodePeerState(AlterText(state, rng));
+    CHECK((!rows || DecodeDirectory(rows->directory).size() <= 1));
+  }
+}
+
 TEST_CASE("the longest prefix wins and weights divide the requests") {
   auto wide = TestMesh::MakeRoute("x", true);
   wide.path_prefix = "/a/";
