Avoid servers that fail fast whatever their load

One server failed about half of its calls at once. Failures multiplied its cost, but a server that fails fast is never busy, so that cost stayed the lowest for nodes of its zone: 318 of 335 logged repeats name it. The budget for repeats ran out and whole trees failed.

Change: failures add up to four median latencies of the service to the cost, and their share fades by half in two seconds without an answer, so that a server that is avoided gets a call once in a while.

The new case of routing_test fails before.

--- a/src/include/cassiakeel/routing/selection.h
+++ b/src/include/cassiakeel/routing/selection.h
@@ -51,8 +51,11 @@
   /// The endpoint said that it leaves; kept until the member list says so too.
   std::optional<SteadyTime> left_at;
   RetryTokens retry_tokens;
-  /// Moving share of the answers that were failures of the backend server.
+  /// Moving share of the answers that were failures of the backend server, as
+  /// of `failures_at`. Fades with time, so that a server which is avoided gets a
+  /// call now and then and shows that it recovered.
   double failure_share = 0;
+  SteadyTime failures_at;
 };
 
 /// Answer latencies of a service in logarithmic buckets, with decay.
--- a/src/librouting/pool.cc
+++ b/src/librouting/pool.cc
@@ -11,8 +11,9 @@
 
 constexpr double kExclusionShare = 0.3;
 constexpr double kEwmaWeight = 0.3;
-// About the last twenty answers count.
-constexpr double kFailureWeight = 0.05;
+// About the last ten answers count.
+constexpr double kFailureWeight = 0.1;
+constexpr nanoseconds kFailureHalfLife = std::chrono::seconds(2);
 constexpr nanoseconds kForgetTime = std::chrono::seconds(10);
 // Three times the median is far outside the spread of an average of
 // exponential service times; below the floor, differences are noise.
@@ -214,6 +215,15 @@
   return median + (latency.ns - median) * memory;
 }
 
+double FailureShare(const EndpointStats& stats, SteadyTime now) {
+  if (stats.failure_share <= 0) {
+    return 0;
+  }
+  const std::chrono::duration<double> idle = now - stats.failures_at;
+  const std::chrono::duration<double> half_life = kFailureHalfLife;
+  return stats.failure_share * std::exp2(-idle / half_life);
+}
+
 }  // namespace pvt
 
 void UpdateEndpoints(Pool& pool, std::vector<Endpoint> endpoints) {
@@ -266,8 +276,10 @@
     stats->left_at = now;
   }
   if (answer.outcome == Outcome::kRan || answer.server_failed) {
-    stats->failure_share += kFailureWeight * ((answer.server_failed ? 1 : 0) -
-                                              stats->failure_share);
+    const double past = pvt::FailureShare(*stats, now);
+    stats->failure_share =
+        past + kFailureWeight * ((answer.server_failed ? 1 : 0) - past);
+    stats->failures_at = now;
   }
   if (answer.outcome == Outcome::kRan) {
     stats->consecutive_failures = 0;
--- a/src/librouting/pool.h
+++ b/src/librouting/pool.h
@@ -20,4 +20,7 @@
                        WorkLength length,
                        SteadyTime now);
 
+/// Share of failures to expect of a call now.
+double FailureShare(const EndpointStats& stats, SteadyTime now);
+
 }  // namespace cassiakeel::routing::pvt
--- a/src/librouting/selection.cc
+++ b/src/librouting/selection.cc
@@ -29,11 +29,14 @@
   return Fresh(stats, now, ttl) && request_class > stats.load.accepts;
 }
 
-// How much a server that fails all of its work is disliked: more than a doubled
-// latency, less than an ejection.
-constexpr double kFailureCost = 8;
-
-// (Distance + latency x (in flight + 1) / limit) x (1 + cost of failures).
+// What a call to a server that fails all of its work costs, in median latencies
+// of the service: more than a full queue elsewhere, less than an ejection.
+constexpr double kFailureCost = 4;
+// Median to assume before there is one, 10 ms.
+constexpr double kUnknownMedianNs = 1e7;
+
+// Distance + latency x (in flight + 1) / limit + cost of failures. The last
+// does not depend on the load, because a server that fails fast is never busy.
 double Cost(const Pool& pool,
             std::size_t index,
             WorkLength length,
@@ -47,9 +50,11 @@
         load, static_cast<double>(stats.load.in_flight) + stats.load.queued);
     limit = std::max(1, stats.load.limit);
   }
-  return (pool.distance_ns[index] +
-          pvt::ExpectedLatency(pool, stats, length, now) * (load + 1) / limit) *
-         (1 + kFailureCost * stats.failure_share);
+  const double known = pool.median_ns[static_cast<std::size_t>(length)];
+  const double median = known > 0 ? known : kUnknownMedianNs;
+  return pool.distance_ns[index] +
+         pvt::ExpectedLatency(pool, stats, length, now) * (load + 1) / limit +
+         median * kFailureCost * pvt::FailureShare(stats, now);
 }
 
 bool WasTried(const Pool& pool,
--- a/src/librouting/selection_test.cc
+++ b/src/librouting/selection_test.cc
@@ -330,6 +330,37 @@
   }
 }
 
+// Guards against a near server that fails half of its work at once, and so is
+// never busy, drawing calls from farther ones that are busy but sound.
+TEST_CASE("a near server that fails fast is left for farther ones") {
+  Pool pool;
+  pool.distance = {{ZoneName("near"), milliseconds(0)},
+                   {ZoneName("far"), milliseconds(3)}};
+  UpdateEndpoints(pool, {{NodeId("n0"), {}, ZoneName("near")},
+                         {NodeId("n1"), {}, ZoneName("far")},
+                         {NodeId("n2"), {}, ZoneName("far")}});
+  Rng rng(1);
+  SteadyTime now = kStart;
+  for (int i = 0; i < 20; ++i) {
+    for (int node = 0; node < 3; ++node) {
+      const NodeId id("n" + std::to_string(node));
+      const bool fails = node == 0 && i % 2 == 0;
+      OnDispatch(pool, id, now);
+      auto answer = MakeAnswer(milliseconds(fails ? 1 : 60));
+      answer.server_failed = fails;
+      answer.load = admission::Load{node == 0 ? 1 : 70, 100, 0};
+      OnAnswer(pool, id, answer, now);
+    }
+    now += milliseconds(10);
+  }
+  for (int i = 0; i < 50; ++i) {
+    CHECK(SelectEndpoint(pool, {}, now, rng).endpoint != 0u);
+  }
+  // It is tried again once in a while.
+  now += std::chrono::seconds(10);
+  CHECK(SelectEndpoint(pool, {}, now, rng).endpoint == 0u);
+}
+
 // Guards against an endpoint that restarts in a second staying unused for long.
 TEST_CASE("the pool's times bound how long an endpoint is left alone") {
   Pool pool = MakePool(2);
