--- a/src/librouting/selection_test.cc
+++ b/src/librouting/selection_test.cc
@@ -346,7 +346,7 @@
       const NodeId id("n" + std::to_string(node));
       const bool fails = node == 0 && i % 2 == 0;
       OnDispatch(pool, id, now);
-      auto answer = MakeAnswer(milliseconds(fails ? 1 : 60));
+      auto answer = MakeAnswer(milliseconds(node == 0 ? 10 : 20));
       answer.server_failed = fails;
       answer.load = admission::Load{node == 0 ? 1 : 70, 100, 0};
       OnAnswer(pool, id, answer, now);
