--- a/src/include/cassiakeel/base/alter_text.h
+++ b/src/include/cassiakeel/base/alter_text.h
@@ -23,7 +23,7 @@
         text.insert(at, text.substr(at, length));
         break;
       case 3:
-        text.replace(at, 1, rng() % 2 == 0 ? "-1" : "9e300");
+        text.replace(at, 1, std::string(rng() % 2 == 0 ? "-1" : "9e300"));
         break;
       default:
         text.resize(at);
--- a/src/include/cassiakeel/routing/selection.h
+++ b/src/include/cassiakeel/routing/selection.h
@@ -52,8 +52,8 @@
   std::optional<SteadyTime> left_at;
   RetryTokens retry_tokens;
   /// Moving share of the answers that were failures of the backend server, as
-  /// of `failures_at`. Fades with time, so that a server which is avoided gets a
-  /// call now and then and shows that it recovered.
+  /// of `failures_at`. Fades with time, so that a server which is avoided gets
+  /// a call now and then and shows that it recovered.
   double failure_share = 0;
   SteadyTime failures_at;
 };
