Take control state from calls of nodes only

Cause: a request of a client is handed on under its own path. With a route for all paths, one for the path on which nodes hand over state would have been taken as state by a node that has none. Found on reading.

Change: a message with the field that each call carries is a call.

Figures: the new case of mesh_test fails before, passes after.

--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -225,11 +225,12 @@
       return;
     }
     auto& request = exchange->request();
-    if (request.target == pvt::kPeerStatePath) {
+    const auto* text = h1::FindHeader(request.headers, kCallField);
+    // A client's request may have any path, but each call has the field.
+    if (text == nullptr && request.target == pvt::kPeerStatePath) {
       this->TakeState(*exchange);
       return;
     }
-    const auto* text = h1::FindHeader(request.headers, kCallField);
     const auto timeout = pvt::ParseMs(
         h1::FindHeader(request.headers, this->settings.fields.timeout_ms));
     const auto info =
--- a/src/libmesh/traffic_test.cc
+++ b/src/libmesh/traffic_test.cc
@@ -51,6 +51,26 @@
   CHECK(h1::FindHeader(request.headers, kCallField) == nullptr);
 }
 
+// Guards against a client that hands control state to a node by asking for its
+// path.
+TEST_CASE("a request for the path of control state is a request like others") {
+  FakeBackend backend(AnswerWell);
+  TestMesh mesh;
+  std::atomic<int> states{0};
+  PeerHandlers handlers;
+  handlers.on_state = [&states](const std::string&) { ++states; };
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "back", milliseconds(6000), std::move(handlers));
+  mesh.SetBackend("b", backend);
+  auto route = TestMesh::MakeRoute("back", true);
+  route.path_prefix = "/";
+  mesh.Publish({route});
+  const auto result = mesh.Call("a", "/cassiakeel/v1/state", "id");
+  CHECK(result.response.body == "done");
+  CHECK(backend.runs == 1);
+  CHECK(states == 0);
+}
+
 TEST_CASE("a path that only another prefix would match is not found") {
   TestMesh mesh;
   mesh.AddNode("a", "front");
