Free a table follower that waits for a timer

Cause: asan, mesh_test: 9,308 bytes leaked by the case in which the store serves one of two nodes. A timer kept its follower alive, the follower the queue, and the queue the timer; so did the registrar's. A process only leaks that at its end.

Change: timers hold both weakly, through one function in the follower.

--- a/src/include/cassiakeel/mesh/table_follower.h
+++ b/src/include/cassiakeel/mesh/table_follower.h
@@ -49,6 +49,9 @@
   void OnChanges(StoreReply reply);
   void OnFault(const StoreReply& reply);
   void NoteUp();
+  // Does not keep this follower alive: the queue of timers would then keep
+  // itself.
+  void After(std::chrono::milliseconds wait, std::function<void()> action);
 
   SharedStore* store = nullptr;
   std::shared_ptr<h1::TimerQueue> timers;
--- a/src/libmesh/registrar.cc
+++ b/src/libmesh/registrar.cc
@@ -130,9 +130,12 @@
   const auto wait = std::min(
       kLongestRetry, kFirstRetry * (1 << std::min(this->failures++, 4)));
   this->timers->Add(this->timers->Now() + wait,
-                    [self = this->shared_from_this()] {
-                      self->retry_pending = false;
-                      self->Reconcile();
+                    [registrar = this->weak_from_this()] {
+                      // The queue of timers would keep itself otherwise.
+                      if (const auto self = registrar.lock()) {
+                        self->retry_pending = false;
+                        self->Reconcile();
+                      }
                     });
 }
 
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -69,14 +69,22 @@
     return;
   }
   this->expecting = true;
+  this->After(kNewsDelay + this->pause, [this, behind = std::move(behind)] {
+    this->expecting = false;
+    // While the store is lost, the usual attempts go on.
+    if (this->has_loaded && this->link_up && behind()) {
+      ++this->generation;
+      this->Read();
+    }
+  });
+}
+
+void TableFollower::After(milliseconds wait, std::function<void()> action) {
   this->timers->Add(
-      this->timers->Now() + kNewsDelay + this->pause,
-      [self = this->shared_from_this(), behind = std::move(behind)] {
-        self->expecting = false;
-        // While the store is lost, the usual attempts go on.
-        if (self->has_loaded && self->link_up && behind()) {
-          ++self->generation;
-          self->Read();
+      this->timers->Now() + wait,
+      [follower = this->weak_from_this(), action = std::move(action)] {
+        if (const auto alive = follower.lock()) {
+          action();
         }
       });
 }
@@ -127,13 +135,11 @@
     return;
   }
   this->on_change(this->copy);
-  this->timers->Add(
-      this->timers->Now() + this->pause,
-      [self = this->shared_from_this(), current = this->generation] {
-        if (current == self->generation) {
-          self->Follow();
-        }
-      });
+  this->After(this->pause, [this, current = this->generation] {
+    if (current == this->generation) {
+      this->Follow();
+    }
+  });
 }
 
 void TableFollower::NoteUp() {
@@ -154,18 +160,16 @@
       std::min(this->has_loaded ? kLongestBackoffWithCopy : kLongestBackoff,
                kFirstBackoff * (1 << doublings));
   const auto wait = bound / 2 + FullJitter(bound / 2, this->rng);
-  this->timers->Add(
-      this->timers->Now() + wait,
-      [self = this->shared_from_this(), current = this->generation] {
-        if (current != self->generation) {
-          return;
-        }
-        if (self->has_loaded) {
-          self->Follow();
-        } else {
-          self->Read();
-        }
-      });
+  this->After(wait, [this, current = this->generation] {
+    if (current != this->generation) {
+      return;
+    }
+    if (this->has_loaded) {
+      this->Follow();
+    } else {
+      this->Read();
+    }
+  });
 }
 
 }  // namespace cassiakeel::mesh
