Let one piece of code serve where the change wrote two

Cause: reading the whole change again found the same things said twice, a lookup on the path of every result and state that nobody read.

Change, behaviour as before: - What a fetch without a response means is decided in ResultWithoutResponse, for the gate and for results of peers (was in both). - MeshControl takes over what its node learns from peers; the adapter and a test each wired three handlers for it. Handlers may be set at any time now. - A result looks up its endpoint's address only when the peer asks for state. - InRepeatedRun, KnowsState and BoundedTime replace conditions and conversions that stood twice; AnswerLeaving does so in selection_test. - Soak: Server and Proxy share Listener, three faults share one function; the answers kept in the ledger, two stop functions and a list of writers were never used. The order of random draws is the same.

--- a/src/include/cassiakeel/mesh/control.h
+++ b/src/include/cassiakeel/mesh/control.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -34,7 +35,10 @@
 /// to the traffic thread.
 class MeshControl {
  public:
+  /// `io_context` runs the control thread. What `node` learns from other nodes
+  /// is handed over to it.
   static std::unique_ptr<MeshControl> Create(
+      asio::io_context& io_context,
       const MeshSettings& mesh,
       const ControlSettings& settings,
       SharedStore& store,
@@ -48,13 +52,6 @@
   /// Takes a report of the backend server; `applied` runs once a leaving server
   /// gets no new work, possibly on another thread.
   void OnReport(const BackendReport& report, std::function<void()> applied);
-  /// Another node has these versions of the control state.
-  void OnPeerVersions(const StateVersions& peer);
-  /// Sends the policy in force and the directory to the node at `address`,
-  /// which the store does not serve.
-  void OnStateWanted(const PeerAddress& address);
-  /// Takes state of another node where the store has not served this one yet.
-  void OnPeerState(const std::string& state);
   void OnDeparture(const InstanceId& instance,
                    std::int64_t started_at_ms,
                    std::function<void()> applied);
--- a/src/include/cassiakeel/mesh/node.h
+++ b/src/include/cassiakeel/mesh/node.h
@@ -41,7 +41,6 @@
   void SetPolicy(std::shared_ptr<const TrafficPolicy> policy);
   void SetDirectory(std::shared_ptr<const Directory> directory,
                     std::uint64_t version);
-  /// Call before `Start`.
   void SetPeerHandlers(PeerHandlers handlers);
   /// Hands control state, as text, to the node at `address`.
   void SendState(const PeerAddress& address, std::string state);
--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cassiakeel/base/hash.h"
+#include "peer_result.h"
 
 namespace cassiakeel::mesh::pvt {
 namespace {
@@ -287,26 +288,20 @@
 
 ServeResult BackendGate::Interpret(h1::FetchResult fetch,
                                    const Call& call) const {
-  ServeResult result;
   if (fetch.end == h1::FetchEnd::kNotSent) {
-    result.outcome = Outcome::kNotRun;
-    result.reason = Reason::kConnectFailed;
-    return result;
+    return ResultWithoutResponse(fetch.end);
   }
-  result.reached_backend = true;
   if (fetch.end != h1::FetchEnd::kComplete) {
-    result.outcome = Outcome::kUnknown;
-    result.reason = fetch.end == h1::FetchEnd::kTimeout
-                        ? Reason::kTimeout
-                        : Reason::kConnectionLost;
     this->log.Request(
         "backend_lost",
         Text("attempt", call.attempt) + "," +
             Text("route", call.request.info.route) + "," +
             Text("instance", this->backend.report.instance.Value()) + "," +
             Text("cause", fetch.message));
-    return result;
+    return ResultWithoutResponse(fetch.end);
   }
+  ServeResult result;
+  result.reached_backend = true;
   const auto& headers = fetch.response.headers;
   if (h1::FindHeader(headers, this->fields.not_run) != nullptr ||
       fetch.response.status == 421) {
@@ -320,9 +315,7 @@
       h1::FindHeader(headers, this->fields.signature) != nullptr &&
       h1::FindHeader(headers, "Content-Encoding") == nullptr;
   if (fetch.response.status / 100 == 2 && !proven) {
-    result.outcome = Outcome::kUnknown;
-    result.reason = Reason::kConnectionLost;
-    return result;
+    return ResultWithoutResponse(fetch.end);
   }
   result.outcome = Outcome::kRan;
   result.response = std::move(fetch.response);
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -1,6 +1,7 @@
 #include "cassiakeel/mesh/control.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 
 #include "decision_log.h"
 #include "peer_state.h"
@@ -23,7 +24,8 @@
 
 class MeshControl::Impl {
  public:
-  Impl(const MeshSettings& mesh,
+  Impl(asio::io_context& io_context,
+       const MeshSettings& mesh,
        const ControlSettings& settings,
        SharedStore& store,
        std::shared_ptr<h1::TimerQueue> timers,
@@ -48,6 +50,7 @@
         store, timers, settings.directory_table, kDirectoryPause,
         [this](const RowMap& rows) { this->OnDirectoryRows(rows); },
         this->LinkLogger(settings.directory_table));
+    node.SetPeerHandlers(this->PeerHandlersOn(io_context));
   }
 
   void Start() {
@@ -69,6 +72,22 @@
     this->RunApplied();
   }
 
+ private:
+  // The handlers run on the traffic thread and hand over to this one.
+  PeerHandlers PeerHandlersOn(asio::io_context& io_context) {
+    return {
+        [this, &io_context](const StateVersions& peer) {
+          asio::post(io_context, [this, peer] { this->OnPeerVersions(peer); });
+        },
+        [this, &io_context](const PeerAddress& address) {
+          asio::post(io_context,
+                     [this, address] { this->OnStateWanted(address); });
+        },
+        [this, &io_context](const std::string& state) {
+          asio::post(io_context, [this, state] { this->OnPeerState(state); });
+        }};
+  }
+
   void OnPeerVersions(const StateVersions& peer) {
     if (peer.policy > this->policy_version.Value()) {
       this->policy_rows->Expect([this, wanted = peer.policy] {
@@ -106,7 +125,6 @@
     }
   }
 
- private:
   TableFollower::LinkHandler LinkLogger(const std::string& table) {
     return [this, table](bool up, const std::string& cause) {
       this->log.Write(
@@ -227,6 +245,7 @@
 };
 
 std::unique_ptr<MeshControl> MeshControl::Create(
+    asio::io_context& io_context,
     const MeshSettings& mesh,
     const ControlSettings& settings,
     SharedStore& store,
@@ -234,9 +253,9 @@
     const Clock& clock,
     MeshNode& node,
     PolicyDecoder decode_policy) {
-  return std::unique_ptr<MeshControl>(new MeshControl(
-      std::make_unique<Impl>(mesh, settings, store, std::move(timers), clock,
-                             node, std::move(decode_policy))));
+  return std::unique_ptr<MeshControl>(new MeshControl(std::make_unique<Impl>(
+      io_context, mesh, settings, store, std::move(timers), clock, node,
+      std::move(decode_policy))));
 }
 
 MeshControl::MeshControl(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
@@ -252,18 +271,6 @@
   this->impl->OnReport(report, std::move(applied));
 }
 
-void MeshControl::OnPeerVersions(const StateVersions& peer) {
-  this->impl->OnPeerVersions(peer);
-}
-
-void MeshControl::OnStateWanted(const PeerAddress& address) {
-  this->impl->OnStateWanted(address);
-}
-
-void MeshControl::OnPeerState(const std::string& state) {
-  this->impl->OnPeerState(state);
-}
-
 void MeshControl::OnDeparture(const InstanceId& instance,
                               std::int64_t started_at_ms,
                               std::function<void()> applied) {
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -61,9 +61,9 @@
 class ControlledNode {
  public:
   ControlledNode(TestMesh& mesh, ControlLoop& loop, const std::string& name)
-      : loop(loop),
-        node(mesh.AddNode(name, "back", milliseconds(6000), this->Handlers())),
-        control(MeshControl::Create(mesh.settings[name],
+      : node(mesh.AddNode(name, "back")),
+        control(MeshControl::Create(loop.io_context,
+                                    mesh.settings[name],
                                     {"policies", "config", "nodes"},
                                     this->store,
                                     loop.timers,
@@ -72,23 +72,8 @@
                                     DecodeTestPolicy)) {}
 
   FakeStore store;
-  ControlLoop& loop;
   MeshNode& node;
   std::unique_ptr<MeshControl> control;
-
- private:
-  PeerHandlers Handlers() {
-    return {{},
-            [this](const PeerAddress& address) {
-              asio::post(this->loop.io_context, [this, address] {
-                this->control->OnStateWanted(address);
-              });
-            },
-            [this](const std::string& state) {
-              asio::post(this->loop.io_context,
-                         [this, state] { this->control->OnPeerState(state); });
-            }};
-  }
 };
 
 // A follower that has read a table of one row.
--- a/src/libmesh/dispatched_call.cc
+++ b/src/libmesh/dispatched_call.cc
@@ -126,7 +126,7 @@
                 this->tree_rank,
                 this->route.idempotent,
                 this->route.target_latency,
-                this->arrivals > 0 || (this->parent && this->parent->repeat),
+                this->arrivals > 0 || this->InRepeatedRun(),
                 this->owner.versions};
   if (this->node == this->owner.settings.node) {
     this->SendLocally(std::move(info));
@@ -200,10 +200,11 @@
   if (this->owner.on_peer_versions) {
     this->owner.on_peer_versions(result.sender);
   }
-  const auto known = pool.index.find(this->node);
-  if (result.wants_state && this->owner.on_state_wanted &&
-      known != pool.index.end()) {
-    this->owner.on_state_wanted(pool.endpoints[known->second].address);
+  if (result.wants_state && this->owner.on_state_wanted) {
+    const auto known = pool.index.find(this->node);
+    if (known != pool.index.end()) {
+      this->owner.on_state_wanted(pool.endpoints[known->second].address);
+    }
   }
   const bool failed = result.reason == Reason::kConnectFailed ||
                       result.reason == Reason::kConnectionLost ||
@@ -223,8 +224,12 @@
   routing::OnAnswer(pool, this->node, answer, now);
 }
 
+bool Dispatcher::Call::InRepeatedRun() const {
+  return this->parent && this->parent->repeat;
+}
+
 void Dispatcher::Call::CountFirst(SteadyTime now) {
-  if (this->parent && this->parent->repeat) {
+  if (this->InRepeatedRun()) {
     this->owner.quota.NoteInherited(this->service, now);
   } else {
     this->owner.quota.NoteFirst(this->service, now);
--- a/src/libmesh/dispatched_call.h
+++ b/src/libmesh/dispatched_call.h
@@ -34,6 +34,8 @@
   void OnResult(int number, ServeResult result);
   // Tells the selection what the attempt showed.
   void Observe(const ServeResult& result);
+  // The run that caused this call was itself a repeat.
+  bool InRepeatedRun() const;
   void CountFirst(SteadyTime now);
   double Position() const;
   void OnAnswered(ServeResult result);
--- a/src/libmesh/mesh_test_support.h
+++ b/src/libmesh/mesh_test_support.h
@@ -105,8 +105,7 @@
   MeshNode& AddNode(
       const std::string& name,
       const std::string& service,
-      std::chrono::milliseconds grace = std::chrono::milliseconds(6000),
-      PeerHandlers handlers = {}) {
+      std::chrono::milliseconds grace = std::chrono::milliseconds(6000)) {
     MeshSettings settings;
     settings.node = NodeId(name);
     settings.zone = ZoneName("zone");
@@ -121,7 +120,6 @@
     REQUIRE(node);
     this->settings[name] = settings;
     this->nodes[name] = std::move(*node);
-    this->nodes[name]->SetPeerHandlers(std::move(handlers));
     this->nodes[name]->Start();
     return *this->nodes[name];
   }
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -181,11 +181,14 @@
     }
   }
 
+  // What it takes to send requests.
+  bool KnowsState() const { return this->policy && this->has_directory; }
+
   // True for one result at a time while the store has not given this node what
   // it needs to send requests.
   bool AsksForState() {
     const auto now = this->clock.Now();
-    if ((this->policy && this->has_directory) || now < this->next_state_ask) {
+    if (this->KnowsState() || now < this->next_state_ask) {
       return false;
     }
     this->next_state_ask = now + kStateAskInterval;
@@ -271,8 +274,7 @@
       exchange.Respond({404, {}, {}});
       return;
     }
-    const bool is_ready =
-        this->policy && this->has_directory && !this->stopping;
+    const bool is_ready = this->KnowsState() && !this->stopping;
     exchange.Respond({is_ready ? 200 : 503, {}, {}});
   }
 
@@ -355,7 +357,10 @@
 }
 
 void MeshNode::SetPeerHandlers(PeerHandlers handlers) {
-  this->impl->SetPeerHandlers(std::move(handlers));
+  this->impl->Post(
+      [impl = this->impl.get(), handlers = std::move(handlers)]() mutable {
+        impl->SetPeerHandlers(std::move(handlers));
+      });
 }
 
 void MeshNode::SendState(const PeerAddress& address, std::string state) {
--- a/src/libmesh/peer_result.cc
+++ b/src/libmesh/peer_result.cc
@@ -2,26 +2,31 @@
 
 namespace cassiakeel::mesh::pvt {
 
-ServeResult DecodePeerResult(h1::FetchResult fetch) {
+ServeResult ResultWithoutResponse(h1::FetchEnd end) {
   ServeResult result;
-  if (fetch.end == h1::FetchEnd::kNotSent) {
+  if (end == h1::FetchEnd::kNotSent) {
     result.outcome = Outcome::kNotRun;
     result.reason = Reason::kConnectFailed;
     return result;
   }
+  result.outcome = Outcome::kUnknown;
   result.reached_backend = true;
-  result.reason = fetch.end == h1::FetchEnd::kTimeout ? Reason::kTimeout
-                                                      : Reason::kConnectionLost;
+  result.reason = end == h1::FetchEnd::kTimeout ? Reason::kTimeout
+                                                : Reason::kConnectionLost;
+  return result;
+}
+
+ServeResult DecodePeerResult(h1::FetchResult fetch) {
   if (fetch.end != h1::FetchEnd::kComplete) {
-    return result;
+    return ResultWithoutResponse(fetch.end);
   }
   const auto* text = h1::FindHeader(fetch.response.headers, kResultField);
   const auto parsed = text == nullptr ? Fail("read result", "no result field")
                                       : ParseResult(*text);
   if (!parsed) {
-    return result;
+    return ResultWithoutResponse(fetch.end);
   }
-  result = *parsed;
+  ServeResult result = *parsed;
   result.response = std::move(fetch.response);
   h1::RemoveConnectionFields(result.response.headers);
   std::erase_if(result.response.headers, [](const auto& field) {
--- a/src/libmesh/peer_result.h
+++ b/src/libmesh/peer_result.h
@@ -10,4 +10,9 @@
 /// unknown, unless no byte was sent.
 ServeResult DecodePeerResult(h1::FetchResult fetch);
 
+/// Result of a request to a backend server or to the node beside it that
+/// brought no response which counts: not run if no byte was sent, unknown
+/// otherwise.
+ServeResult ResultWithoutResponse(h1::FetchEnd end);
+
 }  // namespace cassiakeel::mesh::pvt
--- a/src/libmesh/traffic_test.cc
+++ b/src/libmesh/traffic_test.cc
@@ -60,7 +60,7 @@
   PeerHandlers handlers;
   handlers.on_state = [&states](const std::string&) { ++states; };
   mesh.AddNode("a", "front");
-  mesh.AddNode("b", "back", milliseconds(6000), std::move(handlers));
+  mesh.AddNode("b", "back").SetPeerHandlers(std::move(handlers));
   mesh.SetBackend("b", backend);
   auto route = TestMesh::MakeRoute("back", true);
   route.path_prefix = "/";
--- a/src/librouting/selection_test.cc
+++ b/src/librouting/selection_test.cc
@@ -90,6 +90,15 @@
   return latencies[latencies.size() * 99 / 100];
 }
 
+// A call to `node` is refused at `kStart` because its server leaves.
+void AnswerLeaving(Pool& pool, const NodeId& node) {
+  Answer leaving;
+  leaving.outcome = Outcome::kNotRun;
+  leaving.reason = Reason::kLeaving;
+  OnDispatch(pool, node, kStart);
+  OnAnswer(pool, node, leaving, kStart);
+}
+
 }  // namespace
 
 // Guards against tail latency that a few slowed backend servers cause.
@@ -115,11 +124,7 @@
 TEST_CASE("tried and leaving endpoints are never chosen") {
   Pool pool = MakePool(3);
   Rng rng(1);
-  Answer leaving;
-  leaving.outcome = Outcome::kNotRun;
-  leaving.reason = Reason::kLeaving;
-  OnDispatch(pool, NodeId("n1"), kStart);
-  OnAnswer(pool, NodeId("n1"), leaving, kStart);
+  AnswerLeaving(pool, NodeId("n1"));
   const std::vector<NodeId> tried = {NodeId("n0")};
   SelectionRequest request;
   request.tried = tried;
@@ -367,11 +372,7 @@
   pool.left_time = milliseconds(800);
   pool.longest_ejection = milliseconds(3000);
   Rng rng(1);
-  Answer leaving;
-  leaving.outcome = Outcome::kNotRun;
-  leaving.reason = Reason::kLeaving;
-  OnDispatch(pool, NodeId("n0"), kStart);
-  OnAnswer(pool, NodeId("n0"), leaving, kStart);
+  AnswerLeaving(pool, NodeId("n0"));
   const std::vector<NodeId> tried = {NodeId("n1")};
   SelectionRequest request;
   request.tried = tried;
--- a/testsuite/harness/soak.py
+++ b/testsuite/harness/soak.py
@@ -31,7 +31,6 @@
     def __init__(self):
         self.sent = {}
         self.runs = {}
-        self.answers = {}
         self.refused = set()
         self.violations = []
         self.served = 0
@@ -59,9 +58,6 @@
                 time.monotonic() - backend.confirmed_at > DRAIN_S + SLACK_S:
             self.violate("drain", f"{attempt} reached {backend.instance} late")
 
-    def on_answer(self, attempt, status):
-        self.answers.setdefault(attempt, set()).add(status)
-
     def on_client_answer(self, attempt, status, headers, body):
         safe = self.sent[attempt]["safe"]
         if status in PROMISES_NOT_RUN and not safe:
@@ -128,7 +124,6 @@
         self.nodes = [Node(self, i, f"s{i % 3}") for i in range(nodes)]
         self.version = 0
         self.counter = 0
-        self.disturbed_until = 0
         self.tasks = set()
 
     def spawn(self, task):
@@ -194,28 +189,29 @@
         elif kind == "hup":
             node.process.send_signal(signal.SIGHUP)
         elif kind == "store":
-            self.store.mode = self.rng.choice(("down", "silent", "late"))
-            await asyncio.sleep(for_s)
-            self.store.mode = "up"
+            await self.misbehave(self.store, ("down", "silent", "late"), for_s)
         elif kind == "forget":
             self.store.forget_history()
         elif kind == "backend":
-            node.backend.mode = self.rng.choice(("slow", "failing", "resetting"))
-            await asyncio.sleep(for_s)
-            node.backend.mode = "up"
+            await self.misbehave(node.backend, ("slow", "failing", "resetting"),
+                                 for_s)
         elif kind == "drain":
             await self.drain(node)
         elif kind == "proxy":
             proxy = self.rng.choice((node.proxy, node.store_proxy))
-            proxy.mode = self.rng.choice(("delayed", "silent", "one_way", "refusing"))
-            await asyncio.sleep(for_s)
-            proxy.mode = "up"
+            await self.misbehave(
+                proxy, ("delayed", "silent", "one_way", "refusing"), for_s)
         elif kind == "reset":
             self.rng.choice((node.proxy, node.store_proxy)).reset_all()
         elif kind == "policy":
             for _ in range(self.rng.randrange(1, 5)):
                 await self.publish()
 
+    async def misbehave(self, stand_in, modes, for_s):
+        stand_in.mode = self.rng.choice(modes)
+        await asyncio.sleep(for_s)
+        stand_in.mode = "up"
+
     async def end(self, node, kind):
         process = node.process
         if kind == "kill":
--- a/testsuite/harness/soak_world.py
+++ b/testsuite/harness/soak_world.py
@@ -34,27 +34,27 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-class Server:
-    """An HTTP server; `answer(line, headers, body)` returns bytes, or None to
-    reset the connection."""
+class Listener:
+    """Hands connections to `address` to `serve(reader, writer)`."""
 
-    def __init__(self, address, answer):
+    def __init__(self, address):
         self.host, port = address.split(":")
         self.port = int(port)
-        self.answer = answer
         self.server = None
-        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
 
-    async def stop(self):
-        self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+
+class Server(Listener):
+    """An HTTP server; `answer(line, headers, body)` returns bytes, or None to
+    reset the connection."""
+
+    def __init__(self, address, answer):
+        super().__init__(address)
+        self.answer = answer
 
     async def serve(self, reader, writer):
-        self.writers.add(writer)
         try:
             while message := await read_message(reader):
                 answer = await self.answer(*message)
@@ -66,7 +66,6 @@
         except (ConnectionError, OSError):
             pass
         finally:
-            self.writers.discard(writer)
             writer.close()
 
 
@@ -191,7 +190,6 @@
             return None
         fields = {"X-Attempt-Id": attempt, "X-Response-Signature": self.instance}
         status = 500 if self.mode == "failing" else 200
-        self.ledger.on_answer(attempt, status)
         return response(status, f"{attempt}:{self.instance}".encode(), fields)
 
     async def report(self):
@@ -238,25 +236,16 @@
     return answer[0] if answer else 0
 
 
-class Proxy:
+class Proxy(Listener):
     """Passes bytes on to `target`. `mode` is up, delayed, silent (open
     connections and new ones hang), one_way (answers are lost) or refusing."""
 
     def __init__(self, address, target):
-        self.host, port = address.split(":")
-        self.port = int(port)
+        super().__init__(address)
         self.target = target
         self.mode = "up"
-        self.server = None
         self.writers = set()
 
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.host, self.port)
-
-    async def stop(self):
-        self.server.close()
-        self.reset_all()
-
     def reset_all(self):
         for writer in list(self.writers):
             writer.transport.abort()
