--- a/src/include/cassiakeel/h1/client.h
+++ b/src/include/cassiakeel/h1/client.h
@@ -43,7 +43,10 @@
   SteadyTime deadline;
   /// Name of a response field that repeats a value of the request. A response
   /// with another value in this field answers an earlier request on the
-  /// connection and is discarded. An empty name disables the check.
+  /// connection and is discarded. Without this field in the response, or for
+  /// the same value again, the connection is not reused: a late copy of the
+  /// response could not be told from the response to the next request. An empty
+  /// name disables the check.
   std::string echo_field;
   std::string echo_value;
   /// Reuse a connection only if it was idle for less than this. If the peer
@@ -66,6 +69,11 @@
   /// Idle connections kept open per peer.
   std::size_t max_idle_per_peer = 64;
   MessageLimits limits;
+  /// Memory for all responses that are being received. A response that holds
+  /// more than what the others leave free fails, so that one response gets at
+  /// most half, and `n` endless ones leave 1/(n + 1) for others (dynamic
+  /// thresholds; Choudhury and Hahne, 1998).
+  std::size_t max_buffered_bytes = 64U << 20U;
 };
 
 /// HTTP/1.1 client for one Asio thread, with a pool of idle connections per
@@ -90,6 +98,8 @@
   void CloseIdleConnections(const PeerAddress& peer);
   /// Number of connections opened since this client was created.
   std::uint64_t connections_opened() const;
+  /// Memory held by responses that are being received.
+  std::size_t buffered_bytes() const;
 
  private:
   class Impl;
--- a/src/include/cassiakeel/h1/server.h
+++ b/src/include/cassiakeel/h1/server.h
@@ -45,12 +45,16 @@
   /// response.
   std::chrono::milliseconds stall_timeout{10000};
   std::size_t max_connections = 3000;
+  /// Memory for all requests that are being received, divided as
+  /// `ClientOptions::max_buffered_bytes`. A request beyond it gets 503.
+  std::size_t max_buffered_bytes = 64U << 20U;
 };
 
 /// HTTP/1.1 server for one Asio thread. Reads complete requests, serves one at
 /// a time per connection and detects when the peer closes the connection while
 /// its request is served. Malformed, incomplete or oversized requests get 400,
-/// 408, 413 or 431.
+/// 408, 413 or 431. A request whose handler throws gets 500, and the exception
+/// leaves `io_context::run()`.
 class Server {
  public:
   /// Fails if the address is malformed or cannot be bound. `limits` must
@@ -71,7 +75,9 @@
   /// closes the listening socket. Open connections are still served.
   void StopAccepting();
   /// Stops accepting and closes the connections that have no request. Requests
-  /// that have already arrived are served first.
+  /// that have already arrived are served first, and so are those that arrive
+  /// within a fifth of a second on a new connection or whose first part has
+  /// arrived.
   void Shutdown();
   std::size_t OpenConnections() const;
   /// Number of requests being served.
--- a/src/include/cassiakeel/mesh/backend.h
+++ b/src/include/cassiakeel/mesh/backend.h
@@ -4,11 +4,17 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "cassiakeel/base/strong.h"
 
 namespace cassiakeel::mesh {
 
+/// Whether `text` can be the name of a service, route or server: 1 to 200 bytes
+/// without control characters, which would break header fields, and without the
+/// separator '|' of messages between nodes.
+bool IsName(std::string_view text);
+
 /// Id of a backend server process. Usually changes with each restart, but a
 /// restarted server may also reuse its id.
 using InstanceId = Strong<std::string, struct InstanceIdTag>;
--- a/src/libh1/client.cc
+++ b/src/libh1/client.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <unordered_map>
 
+#include "buffer_budget.h"
 #include "parser.h"
 #include "socket_io.h"
 
@@ -20,8 +21,10 @@
 // that the peer announced, because the peer's timeout started earlier and it
 // could close the connection while the next request is sent.
 constexpr double kReuseFraction = 0.6;
-
-struct ClientState;
+// Upper bound on the bytes received for one request, as a multiple of the size
+// limits of its response: chunk sizes, interim responses, and responses to
+// earlier requests.
+constexpr std::size_t kMaxReceivedRatio = 2;
 
 // Time for which the connection may be reused, from a response field such as
 // "Keep-Alive: timeout=5".
@@ -57,6 +60,7 @@
   std::unordered_map<FetchId, std::shared_ptr<Connection>> running;
   FetchId next_id = 1;
   std::uint64_t opened_count = 0;
+  pvt::BufferBudget buffers;
 
   void RemoveIdle(const std::shared_ptr<Connection>& connection,
                   const PeerAddress& peer) {
@@ -80,6 +84,7 @@
         socket(this->client_state->io_context),
         parser(pvt::Parser::Kind::kResponse,
                this->client_state->options.limits),
+        buffered(this->client_state->buffers),
         timeout(this->client_state->timers),
         connect_timeout(this->client_state->timers) {}
 
@@ -109,14 +114,24 @@
     this->closed = true;
     this->timeout.Cancel();
     this->connect_timeout.Cancel();
+    this->buffered.Set(0);
     asio::error_code ignored;
     this->socket.close(ignored);
     this->client_state->RemoveIdle(this->shared_from_this(), this->peer);
   }
 
-  bool Usable(SteadyTime now, milliseconds max_idle) const {
-    return !this->closed && now < this->keep_until &&
-           now - this->idle_since < max_idle;
+  // Whether the connection may carry `next`.
+  bool Usable(SteadyTime now, const Fetch& next) const {
+    const bool repeats_id =
+        !next.echo_field.empty() && next.echo_value == this->fetch.echo_value;
+    return !this->closed && now < this->keep_until && !repeats_id &&
+           now - this->idle_since < next.max_idle;
+  }
+
+  // Whether bytes have arrived that belong to no request.
+  bool HasStrayBytes() const {
+    asio::error_code error;
+    return this->socket.available(error) > 0 || error;
   }
 
  private:
@@ -177,8 +192,8 @@
           .append("\r\n");
     }
     out.append("\r\n").append(request.body);
-    this->parser.Reset();
-    this->parser.set_no_body(request.method == "HEAD");
+    this->ResetParser();
+    this->received_bytes = 0;
     this->writing = true;
     const auto self = this->shared_from_this();
     pvt::WriteAll(this->socket, std::move(out), self,
@@ -243,6 +258,7 @@
   }
 
   void Consume(std::string_view bytes) {
+    this->received_bytes += bytes.size();
     while (!bytes.empty()) {
       std::size_t used = 0;
       const auto state = this->parser.Feed(bytes, used);
@@ -256,17 +272,38 @@
       }
       bytes.remove_prefix(used);
       if (this->parser.status / 100 == 1 || this->AnswersEarlierRequest()) {
-        this->parser.Reset();
-        this->parser.set_no_body(this->fetch.request.method == "HEAD");
+        this->ResetParser();
         continue;
       }
       this->Deliver(bytes.empty() && this->parser.keep_alive() &&
-                    !this->writing && !this->write_error);
+                    !this->writing && !this->write_error && this->RepeatsId());
+      return;
+    }
+    this->buffered.Set(this->parser.buffered_bytes());
+    const auto& options = this->client_state->options;
+    if (!this->buffered.Fits(options.max_buffered_bytes) ||
+        this->received_bytes >
+            kMaxReceivedRatio *
+                (options.limits.header_bytes + options.limits.body_bytes)) {
+      this->Finish(FetchEnd::kNoResponse,
+                   "response exceeds the memory limits before its end");
       return;
     }
     this->WaitForRead();
   }
 
+  void ResetParser() {
+    this->parser.Reset();
+    this->parser.set_no_body(this->fetch.request.method == "HEAD");
+  }
+
+  // Whether a late copy of the parsed response can be told from the response to
+  // another request.
+  bool RepeatsId() const {
+    return this->fetch.echo_field.empty() ||
+           FindHeader(this->parser.headers, this->fetch.echo_field) != nullptr;
+  }
+
   // Whether the parsed response answers an earlier request on this connection.
   bool AnswersEarlierRequest() const {
     if (this->fetch.echo_field.empty()) {
@@ -283,6 +320,7 @@
                        {},
                        this->fresh};
     this->timeout.Cancel();
+    this->buffered.Set(0);
     this->client_state->running.erase(this->fetch_id);
     const auto done = std::exchange(this->handler, nullptr);
     if (reusable) {
@@ -348,6 +386,9 @@
   PeerAddress peer;
   tcp::socket socket;
   pvt::Parser parser;
+  pvt::BufferShare buffered;
+  /// Bytes received since the request was sent.
+  std::size_t received_bytes = 0;
   FetchId fetch_id = 0;
   Fetch fetch;
   FetchHandler handler;
@@ -392,9 +433,12 @@
     const auto found = this->client_state->idle_connections.find(fetch.peer);
     if (found != this->client_state->idle_connections.end()) {
       auto newest = found->second.back();
-      if (newest->Usable(now, fetch.max_idle)) {
-        this->client_state->RemoveIdle(newest, fetch.peer);
-        return newest;
+      if (newest->Usable(now, fetch)) {
+        if (!newest->HasStrayBytes()) {
+          this->client_state->RemoveIdle(newest, fetch.peer);
+          return newest;
+        }
+        newest->Close();
       }
     }
     return std::make_shared<Connection>(this->client_state, fetch.peer);
@@ -448,4 +492,8 @@
   return this->impl->client_state->opened_count;
 }
 
+std::size_t Client::buffered_bytes() const {
+  return this->impl->client_state->buffers.used();
+}
+
 }  // namespace cassiakeel::h1
--- a/src/libh1/parser.cc
+++ b/src/libh1/parser.cc
@@ -5,12 +5,30 @@
 namespace cassiakeel::h1::pvt {
 namespace {
 
+// Bytes of a field line besides its name and value: colon, space and line end.
+// Counted, so that the number of empty fields is bounded as well.
+constexpr std::size_t kFieldOverheadBytes = 4;
+// Upper bound on the size of a head on the wire, as a multiple of its limit,
+// which counts only the target and the fields.
+constexpr std::size_t kMaxRawHeadRatio = 4;
+
 Parser& ParserOf(http_parser* raw_parser) {
   return *static_cast<Parser*>(raw_parser->data);
 }
 
 }  // namespace
 
+int StatusForError(ParseError error) {
+  switch (error) {
+    case ParseError::kHeaderTooLarge:
+      return 431;
+    case ParseError::kBodyTooLarge:
+      return 413;
+    default:
+      return 400;
+  }
+}
+
 const http_parser_settings Parser::kCallbacks = [] {
   http_parser_settings settings;
   http_parser_settings_init(&settings);
@@ -38,6 +56,7 @@
   this->headers.clear();
   this->body.clear();
   this->header_bytes = 0;
+  this->raw_head_bytes = 0;
   this->in_value = false;
   this->has_started = false;
   this->head_done = false;
@@ -54,7 +73,8 @@
     return ParseState::kComplete;
   }
   const auto error = HTTP_PARSER_ERRNO(&this->raw_parser);
-  if (error == HPE_OK && this->raw_parser.upgrade == 0) {
+  if (error == HPE_OK && this->raw_parser.upgrade == 0 &&
+      this->HeadFits(bytes.size())) {
     return ParseState::kNeedMore;
   }
   if (this->parse_error == ParseError::kNone) {
@@ -87,6 +107,18 @@
   return false;
 }
 
+bool Parser::HeadFits(std::size_t bytes) {
+  if (this->head_done) {
+    return true;
+  }
+  this->raw_head_bytes += bytes;
+  if (this->raw_head_bytes <= this->limits.header_bytes * kMaxRawHeadRatio) {
+    return true;
+  }
+  this->parse_error = ParseError::kHeaderTooLarge;
+  return false;
+}
+
 int Parser::OnUrl(http_parser* raw_parser, const char* at, std::size_t length) {
   auto& self = ParserOf(raw_parser);
   self.target.append(at, length);
@@ -99,11 +131,12 @@
   auto& self = ParserOf(raw_parser);
   // Trailer fields of a chunked body are discarded but count as header bytes.
   if (self.head_done) {
-    return self.CountHeaderBytes(length) ? 0 : 1;
+    return self.CountHeaderBytes(length + kFieldOverheadBytes) ? 0 : 1;
   }
   if (self.in_value || self.headers.empty()) {
     self.headers.emplace_back();
     self.in_value = false;
+    self.header_bytes += kFieldOverheadBytes;
   }
   self.headers.back().first.append(at, length);
   return self.CountHeaderBytes(length) ? 0 : 1;
--- a/src/libh1/parser.h
+++ b/src/libh1/parser.h
@@ -15,6 +15,9 @@
 /// Reason why a message was rejected.
 enum class ParseError { kNone, kMalformed, kHeaderTooLarge, kBodyTooLarge };
 
+/// Status of the response to a request that was rejected with `error`.
+int StatusForError(ParseError error);
+
 /// Parses the requests or the responses of a byte stream, one at a time.
 class Parser {
  public:
@@ -39,6 +42,10 @@
   bool keep_alive() const { return this->persistent; }
   ParseError error() const { return this->parse_error; }
   bool expects_continue() const;
+  /// Memory that the parsed part of the current message holds.
+  std::size_t buffered_bytes() const {
+    return this->header_bytes + this->body.size();
+  }
 
   std::string method;
   std::string target;
@@ -62,11 +69,16 @@
   static const http_parser_settings kCallbacks;
 
   bool CountHeaderBytes(std::size_t bytes);
+  // Counts the bytes of a head that the callbacks do not report: empty lines
+  // before the start line, the reason phrase and separators.
+  bool HeadFits(std::size_t bytes);
 
   Kind kind;
   const MessageLimits& limits;
   http_parser raw_parser{};
   std::size_t header_bytes = 0;
+  /// All bytes fed before the end of the head.
+  std::size_t raw_head_bytes = 0;
   bool in_value = false;
   bool has_started = false;
   bool head_done = false;
--- a/src/libh1/server.cc
+++ b/src/libh1/server.cc
@@ -3,6 +3,7 @@
 #include <asio/ip/tcp.hpp>
 #include <set>
 
+#include "buffer_budget.h"
 #include "parser.h"
 #include "socket_io.h"
 
@@ -17,17 +18,10 @@
 // Delay before accepting again after an error, most often a lack of file
 // descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
-
-int StatusForError(pvt::ParseError error) {
-  switch (error) {
-    case pvt::ParseError::kHeaderTooLarge:
-      return 431;
-    case pvt::ParseError::kBodyTooLarge:
-      return 413;
-    default:
-      return 400;
-  }
-}
+// During a shutdown, time since the last byte, or since the connection was
+// accepted, in which the rest of a request or a first request may arrive. Many
+// times the delay between the handshake of a client and its request.
+constexpr std::chrono::milliseconds kShutdownReadWait{200};
 
 class Connection;
 
@@ -38,6 +32,7 @@
   ExchangeHandler handler;
   std::set<std::shared_ptr<Connection>> connections;
   std::size_t in_progress = 0;
+  pvt::BufferBudget buffers;
   bool announce_close = false;
   bool stopped = false;
 };
@@ -48,7 +43,9 @@
       : socket(std::move(socket)),
         shared(std::move(shared)),
         parser(pvt::Parser::Kind::kRequest, this->shared->limits.message),
-        timeout(this->shared->timers) {}
+        buffered(this->shared->buffers),
+        timeout(this->shared->timers),
+        last_read(this->shared->timers->Now()) {}
 
   void Start() {
     pvt::SetUpSocket(this->socket, this->shared->limits.stall_timeout);
@@ -68,14 +65,22 @@
 
   bool busy() const { return this->active != nullptr || this->writing; }
 
-  // Serves a request that has arrived completely; otherwise closes the
-  // connection.
+  // Serves a request that has arrived completely and waits for one that is
+  // about to arrive; otherwise closes the connection.
   void ServeOrClose() {
     asio::error_code error;
     if (!this->busy() && this->socket.available(error) > 0) {
       this->OnReadable();
     }
-    if (!this->busy()) {
+    if (this->busy() || this->closed) {
+      return;
+    }
+    const auto wait_end = this->last_read + kShutdownReadWait;
+    const auto now = this->shared->timers->Now();
+    if (now < wait_end && (!this->has_served || this->parser.started())) {
+      this->SetTimeout(
+          std::chrono::ceil<std::chrono::milliseconds>(wait_end - now));
+    } else {
       this->Close();
     }
   }
@@ -86,6 +91,7 @@
     }
     this->closed = true;
     this->timeout.Cancel();
+    this->buffered.Set(0);
     asio::error_code ignored;
     this->socket.close(ignored);
     this->EndExchange(true);
@@ -127,6 +133,7 @@
       this->Close();
       return;
     }
+    this->last_read = this->shared->timers->Now();
     if (this->busy()) {
       this->read_ahead.append(bytes);
       if (this->read_ahead.size() <= kMaxReadAheadBytes) {
@@ -142,7 +149,7 @@
     std::size_t used = 0;
     const auto state = this->parser.Feed(bytes, used);
     if (state == pvt::ParseState::kFailed) {
-      this->Reject(StatusForError(this->parser.error()));
+      this->Reject(pvt::StatusForError(this->parser.error()));
       return;
     }
     if (state == pvt::ParseState::kComplete) {
@@ -150,6 +157,11 @@
       this->Serve();
       return;
     }
+    this->buffered.Set(this->parser.buffered_bytes());
+    if (!this->buffered.Fits(this->shared->limits.max_buffered_bytes)) {
+      this->Reject(503);
+      return;
+    }
     if (this->parser.headers_complete()) {
       this->SetTimeout(this->shared->limits.stall_timeout);
       this->SendContinue();
@@ -250,9 +262,13 @@
   tcp::socket socket;
   std::shared_ptr<ServerState> shared;
   pvt::Parser parser;
+  pvt::BufferShare buffered;
   std::string read_ahead;
   std::shared_ptr<ServedExchange> active;
   Timer timeout;
+  /// Time of the last read, at first the time of the accept.
+  SteadyTime last_read;
+  bool has_served = false;
   bool waiting = false;
   bool writing = false;
   bool closed = false;
@@ -301,6 +317,8 @@
 };
 
 void Connection::Serve() {
+  this->has_served = true;
+  this->buffered.Set(0);
   this->keep_alive = this->parser.keep_alive();
   this->head_request = this->parser.method == "HEAD";
   this->timeout.Cancel();
@@ -313,7 +331,13 @@
   ++this->shared->in_progress;
   // Detects a peer that closes the connection while its request is served.
   this->WaitForRead();
-  this->shared->handler(this->active);
+  const auto exchange = this->active;
+  try {
+    this->shared->handler(exchange);
+  } catch (...) {
+    exchange->Respond({500, {}, {}}, true);
+    throw;
+  }
 }
 
 void Connection::EndExchange(bool peer_closed) {
@@ -439,7 +463,7 @@
     const ServerLimits& limits,
     ExchangeHandler handler) {
   auto shared = std::make_shared<ServerState>(
-      ServerState{std::move(timers), limits, std::move(handler), {}});
+      ServerState{std::move(timers), limits, std::move(handler), {}, 0, {}});
   auto impl = std::make_shared<Impl>(io_context, std::move(shared));
   if (const auto listening = impl->Listen(listen); !listening) {
     return tl::unexpected(listening.error());
--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cassiakeel/base/hash.h"
+#include "memory_limits.h"
 #include "peer_result.h"
 
 namespace cassiakeel::mesh::pvt {
@@ -19,6 +20,8 @@
 // the request is written, and the outcome would be unknown.
 constexpr milliseconds kMaxIdleNonIdempotent{500};
 constexpr milliseconds kDeadPeerTimeout{1500};
+// More than the slots of a server, so that no connection of a peak is closed.
+constexpr std::size_t kMaxIdleConnections = 512;
 // After this number of consecutive connect failures, calls are refused for
 // kConnectPause.
 constexpr int kMaxConnectFailures = 3;
@@ -73,10 +76,14 @@
       fields(fields),
       log(log),
       statistics(statistics),
-      client(h1::Client::Create(
-          io_context,
-          this->timers,
-          {kConnectTimeout, kIdleTimeout, kDeadPeerTimeout, 512, {}})),
+      client(h1::Client::Create(io_context,
+                                this->timers,
+                                {kConnectTimeout,
+                                 kIdleTimeout,
+                                 kDeadPeerTimeout,
+                                 kMaxIdleConnections,
+                                 {kMaxResponseHeader, kMaxResponseBody},
+                                 kMaxBufferedResponses})),
       timer(this->timers) {}
 
 BackendGate::~BackendGate() = default;
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "dispatched_call.h"
 #include "header_values.h"
+#include "memory_limits.h"
 #include "peer_state.h"
 
 namespace cassiakeel::mesh::pvt {
@@ -59,7 +60,8 @@
                                  kPeerIdleTimeout,
                                  kDeadPeerTimeout,
                                  kMaxIdleConnectionsPerPeer,
-                                 {}})),
+                                 {kMaxResponseHeader, kMaxResponseBody},
+                                 kMaxBufferedResponses})),
       pools(settings.node, settings.zone),
       rng(std::random_device()()) {
   this->quota.SetBounds(settings.retry, 1);
--- /dev/null
+++ b/src/libmesh/malformed_input_test.cc
@@ -0,0 +1,158 @@
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <stdexcept>
+
+#include "cassiakeel/mesh/control.h"
+#include "cassiakeel/mesh/registrar.h"
+#include "cassiakeel/mesh/run_loop.h"
+#include "mesh_test_support.h"
+#include "peer_state.h"
+
+namespace cassiakeel::mesh {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+// A node of another build, reduced to its socket: answers the requests of one
+// connection with the given texts, one after the other.
+class RawPeer {
+ public:
+  // Returns the bytes to send for request number `index` with the id `attempt`.
+  using Reply = std::function<std::string(int index, const std::string& id)>;
+
+  explicit RawPeer(Reply reply)
+      : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0}),
+        reply(std::move(reply)),
+        thread([this] { this->Run(); }) {}
+  ~RawPeer() {
+    this->stopped = true;
+    asio::error_code ignored;
+    tcp::socket wake(this->context);
+    wake.connect(this->acceptor.local_endpoint(), ignored);
+    this->thread.join();
+  }
+  PeerAddress address() const {
+    return PeerAddress("127.0.0.1:" +
+                       std::to_string(this->acceptor.local_endpoint().port()));
+  }
+
+ private:
+  void Run() {
+    int index = 0;
+    asio::error_code error;
+    while (true) {
+      tcp::socket socket(this->context);
+      this->acceptor.accept(socket, error);
+      if (error || this->stopped) {
+        return;
+      }
+      for (auto head = ReadHead(socket); !head.empty();
+           head = ReadHead(socket)) {
+        const auto at = head.find("Attempt: ") + 9;
+        const auto id = head.substr(at, head.find("\r\n", at) - at);
+        asio::write(socket, asio::buffer(this->reply(index++, id)), error);
+      }
+    }
+  }
+
+  static std::string ReadHead(tcp::socket& socket) {
+    std::string head;
+    asio::error_code error;
+    while (!head.ends_with("\r\n\r\n") && !error) {
+      std::array<char, 1> next{};
+      asio::read(socket, asio::buffer(next), error);
+      head.append(next.data(), error ? 0 : 1);
+    }
+    return error ? "" : head;
+  }
+
+  asio::io_context context;
+  tcp::acceptor acceptor;
+  Reply reply;
+  std::atomic<bool> stopped{false};
+  std::thread thread;
+};
+
+std::string PeerResponse(const std::string& id) {
+  ServeResult result;
+  result.outcome = Outcome::kRan;
+  result.reached_backend = true;
+  return "HTTP/1.1 200 OK\r\nAttempt: " + id +
+         "\r\nSignature: s\r\nContent-Length: " + std::to_string(id.size()) +
+         "\r\n" + std::string(kResultField) + ": " + FormatResult(result) +
+         "\r\n\r\n" + id;
+}
+
+}  // namespace
+
+// Guards against a response of another request reaching a caller, if a node
+// sends a response twice.
+TEST_CASE("a late second copy of a peer's response is not taken for the next") {
+  RawPeer peer([](int index, const std::string& id) {
+    const auto response = PeerResponse(id);
+    return index == 1 ? PeerResponse("first") + response : response;
+  });
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  DirectoryEntry entry;
+  entry.node = NodeId("b");
+  entry.address = peer.address();
+  entry.zone = ZoneName("zone");
+  entry.service = ServiceName("back");
+  entry.instance = InstanceId("i-b");
+  mesh.directory[entry.node] = entry;
+  mesh.Publish({TestMesh::MakeRoute("back", true)});
+  CHECK(mesh.Call("a", "/back/1", "first").response.body == "first");
+  CHECK(mesh.Call("a", "/back/1", "second").response.body == "second");
+}
+
+// Guards against one message that ends the process, and with it all requests
+// in progress.
+TEST_CASE("an exception in a handler does not end the loop") {
+  asio::io_context io_context;
+  std::vector<std::string> errors;
+  bool ran = false;
+  asio::post(io_context, [] { throw std::runtime_error("first"); });
+  asio::post(io_context, [] { throw 7; });
+  asio::post(io_context, [&ran] { ran = true; });
+  RunLoop(io_context,
+          [&errors](const std::string& cause) { errors.push_back(cause); });
+  CHECK(ran);
+  CHECK(errors == std::vector<std::string>{"first", "unknown exception"});
+}
+
+TEST_CASE("names that would break a header field or a message are no names") {
+  CHECK(IsName("i-7f3a91c2"));
+  CHECK(IsName("caf\xc3\xa9 bar"));
+  CHECK_FALSE(IsName(""));
+  CHECK_FALSE(IsName("a|b"));
+  CHECK_FALSE(IsName("a\r\nX: y"));
+  CHECK_FALSE(IsName(std::string("a\0b", 3)));
+  CHECK_FALSE(IsName("a\x7f"));
+  CHECK_FALSE(IsName(std::string(201, 'a')));
+}
+
+TEST_CASE("text that is not UTF-8 can be published and handed over") {
+  DirectoryEntry entry;
+  entry.node = NodeId("n");
+  entry.service = ServiceName("s");
+  entry.instance = InstanceId("i-\xff\xfe");
+  CHECK_FALSE(EncodeDirectoryEntry(entry).empty());
+  const RowMap rows{{"bytes", {"bytes", "\x01\xff", 2, false}},
+                    {"n", {"n", EncodeDirectoryEntry(entry), 3, false}}};
+  const auto state = pvt::DecodePeerState(pvt::EncodePeerState({{}, rows}));
+  REQUIRE(state);
+  CHECK(state->directory.at("n").value == rows.at("n").value);
+  CHECK(DecodeDirectory(state->directory).size() == 1);
+}
+
+TEST_CASE("a row with a service that would break a header field is skipped") {
+  DirectoryEntry entry;
+  entry.node = NodeId("n");
+  entry.service = ServiceName("s\r\nX: y");
+  entry.instance = InstanceId("i");
+  CHECK_FALSE(DecodeDirectoryEntry("n", EncodeDirectoryEntry(entry)));
+}
+
+}  // namespace cassiakeel::mesh
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -7,9 +7,11 @@
 
 #include "backend_gate.h"
 #include "cassiakeel/h1/server.h"
+#include "cassiakeel/mesh/run_loop.h"
 #include "decision_log.h"
 #include "dispatcher.h"
 #include "header_values.h"
+#include "memory_limits.h"
 #include "metrics.h"
 #include "peer_state.h"
 
@@ -62,7 +64,10 @@
                                            *this->gate,
                                            this->log,
                                            this->statistics)),
-        work_guard(asio::make_work_guard(this->io_context)) {}
+        work_guard(asio::make_work_guard(this->io_context)) {
+    this->client_limits.max_buffered_bytes = pvt::kMaxBufferedRequests;
+    this->peer_limits.max_buffered_bytes = pvt::kMaxBufferedRequests;
+  }
 
   ~Impl() {
     this->io_context.stop();
@@ -102,7 +107,13 @@
 
   void Start() {
     this->next_state_request = this->clock.Now() + kStateRequestDelay;
-    this->thread = std::thread([this] { this->io_context.run(); });
+    this->thread = std::thread([this] {
+      RunLoop(this->io_context, [this](const std::string& cause) {
+        this->log.WriteLimited("unexpected_error",
+                               pvt::JsonString("thread", "traffic") + "," +
+                                   pvt::JsonString("cause", cause));
+      });
+    });
   }
 
   void Join() {
@@ -124,6 +135,14 @@
     this->client_limits.message = {limits.header_bytes, limits.body_bytes};
     this->client_limits.header_timeout = limits.header_timeout;
     this->client_limits.idle_timeout = limits.idle_timeout;
+    this->client_limits.max_buffered_bytes =
+        std::max(pvt::kMaxBufferedRequests,
+                 2 * (limits.header_bytes +
+                      std::min(limits.body_bytes, pvt::kMaxRequestBody)));
+    this->peer_limits.message = {limits.header_bytes + pvt::kMaxCallFieldBytes,
+                                 limits.body_bytes};
+    this->peer_limits.max_buffered_bytes =
+        this->client_limits.max_buffered_bytes;
     this->dispatcher->SetPolicy(std::move(next));
   }
 
@@ -225,16 +244,19 @@
 
   // Handles a call from another node for the backend server of this machine.
   void Serve(std::shared_ptr<h1::Exchange> exchange) {
+    auto& request = exchange->request();
+    const auto* id_field =
+        h1::FindHeader(request.headers, this->settings.fields.attempt_id);
+    const std::string attempt = id_field == nullptr ? "" : *id_field;
     if (this->HasBeenStoppingFor(kAcceptCallsWhileStopping)) {
       pvt::CountReason(this->statistics.gate_refusals, Reason::kLeaving);
       ServeResult result;
       result.outcome = Outcome::kNotRun;
       result.reason = Reason::kLeaving;
       result.load = this->gate->CurrentLoad();
-      this->Reply(*exchange, std::move(result));
+      this->Reply(*exchange, attempt, std::move(result));
       return;
     }
-    auto& request = exchange->request();
     const auto* text = h1::FindHeader(request.headers, kCallField);
     // Forwarded client requests may have any path, also this one, but each of
     // them has the call field.
@@ -258,14 +280,18 @@
     serve.request = std::move(request);
     pvt::RemoveHopByHopFields(serve.request.headers, this->settings.fields);
     const auto id = this->gate->Submit(
-        std::move(serve), [this, exchange](ServeResult result) {
-          this->Reply(*exchange, std::move(result));
+        std::move(serve), [this, exchange, attempt](ServeResult result) {
+          this->Reply(*exchange, attempt, std::move(result));
         });
     // No effect on a finished call.
     exchange->OnPeerClosed([this, id] { this->gate->Withdraw(id); });
   }
 
-  void Reply(h1::Exchange& exchange, ServeResult result) {
+  // Responds to another node. The response repeats the id of the attempt, so
+  // that the caller's node can tell a late copy from the next response.
+  void Reply(h1::Exchange& exchange,
+             const std::string& attempt,
+             ServeResult result) {
     result.load.leaving = result.load.leaving ||
                           this->HasBeenStoppingFor(kAcceptCallsWhileStopping);
     result.sender = this->versions;
@@ -274,6 +300,11 @@
     if (result.outcome != Outcome::kRan) {
       response = {result.outcome == Outcome::kNotRun ? 503 : 502, {}, {}};
     }
+    const auto& id_field = this->settings.fields.attempt_id;
+    if (!attempt.empty() &&
+        h1::FindHeader(response.headers, id_field) == nullptr) {
+      response.headers.emplace_back(id_field, attempt);
+    }
     response.headers.emplace_back(kResultField, FormatResult(result));
     exchange.Respond(std::move(response));
   }
--- a/src/libmesh/peer_state.cc
+++ b/src/libmesh/peer_state.cc
@@ -33,7 +33,9 @@
 std::string EncodePeerState(const PeerState& state) {
   return json{{"policy", EncodeRows(state.policy)},
               {"directory", EncodeRows(state.directory)}}
-      .dump();
+      // A row of another writer may contain any bytes. It is not used here, and
+      // with its invalid characters replaced it is not used by the peer.
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<PeerState> DecodePeerState(const std::string& text) {
--- a/src/libmesh/registrar.cc
+++ b/src/libmesh/registrar.cc
@@ -20,7 +20,7 @@
       {"service", entry.service.Value()}, {"instance", entry.instance.Value()},
       {"slots", entry.slots.Value()},     {"started", entry.started_at_ms},
       {"leaving", entry.leaving}}
-      .dump();
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<DirectoryEntry> DecodeDirectoryEntry(const std::string& key,
@@ -36,6 +36,10 @@
     entry.slots = Slots(std::max(1, row.at("slots").get<int>()));
     entry.started_at_ms = row.at("started").get<std::int64_t>();
     entry.leaving = row.at("leaving").get<bool>();
+    if (!IsName(entry.service.Value()) || !IsName(entry.instance.Value())) {
+      return Fail("decode directory row " + key,
+                  "service or instance is not a valid name");
+    }
     return entry;
   } catch (const json::exception& error) {
     return Fail("decode directory row " + key, error.what());
