Count a request's time from its arrival, name the node behind a shed level

Cause: a node that is paused reads a request long after it arrived, and gave it its whole time limit once more, so that work ran after its caller had stopped waiting. Shown by two tests that failed first (h1: received 300 ms late; mesh: one unsafe request ran after its 300 ms limit on a node paused for 800 ms). A request refused at entry named no node in the log.

Change: the arrival time comes from TCP_INFO; a call whose deadline has passed is refused before it is sent. request_failed has level_from.

--- a/src/include/cassiakeel/h1/server.h
+++ b/src/include/cassiakeel/h1/server.h
@@ -20,7 +20,8 @@
   virtual ~Exchange() = default;
   /// The request; may be moved from.
   virtual Request& request() = 0;
-  /// Time at which the last byte of the request was read.
+  /// Time at which the last byte of the request arrived at this machine, as far
+  /// as the operating system tells. A process that was paused reads it later.
   virtual SteadyTime received() const = 0;
   /// Sends the response; later calls do nothing. With `close`, the connection
   /// is closed after the response.
--- a/src/libh1/h1_test.cc
+++ b/src/libh1/h1_test.cc
@@ -109,6 +109,29 @@
   CHECK(SendAndReceive(loop, "GET /a HT").starts_with("HTTP/1.1 408"));
 }
 
+// Guards against a process that was paused giving a request its whole time
+// limit once more, although the caller stopped waiting meanwhile.
+TEST_CASE("a request counts as received when it arrived, not when it is read") {
+  TestLoop loop;
+  std::optional<SteadyTime> received;
+  const auto server = loop.Serve([&](std::shared_ptr<Exchange> exchange) {
+    received = exchange->received();
+    exchange->Respond({200, {}, {}});
+  });
+  tcp::socket socket(loop.io_context);
+  socket.connect(EndpointOf(loop.address));
+  loop.io_context.run_for(milliseconds(20));
+  loop.io_context.restart();
+  const auto sent = loop.clock.Now();
+  asio::write(socket,
+              asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
+  // Nothing runs in this process meanwhile.
+  std::this_thread::sleep_for(milliseconds(300));
+  loop.RunUntil([&received] { return received.has_value(); });
+  CHECK(*received < sent + milliseconds(100));
+  CHECK(*received > sent - milliseconds(100));
+}
+
 TEST_CASE("a closed connection is detected while its request is served") {
   TestLoop loop;
   bool peer_closed = false;
--- a/src/libh1/server.cc
+++ b/src/libh1/server.cc
@@ -325,9 +325,9 @@
   Request request{
       std::move(this->parser.method), std::move(this->parser.target),
       std::move(this->parser.headers), std::move(this->parser.body)};
-  this->active = std::make_shared<ServedExchange>(this->shared_from_this(),
-                                                  std::move(request),
-                                                  this->shared->timers->Now());
+  this->active = std::make_shared<ServedExchange>(
+      this->shared_from_this(), std::move(request),
+      this->shared->timers->Now() - pvt::TimeSinceArrival(this->socket));
   ++this->shared->in_progress;
   // Detects a peer that closes the connection while its request is served.
   this->WaitForRead();
--- a/src/libh1/socket_io.cc
+++ b/src/libh1/socket_io.cc
@@ -9,6 +9,7 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <charconv>
+#include <cstddef>
 
 namespace cassiakeel::h1::pvt {
 namespace {
@@ -28,6 +29,17 @@
   return {buffer.data(), error ? 0 : count};
 }
 
+std::chrono::milliseconds TimeSinceArrival(asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  const int result = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO,
+                                  &info, &length);
+  const bool is_known =
+      result == 0 && length >= offsetof(tcp_info, tcpi_last_data_recv) +
+                                   sizeof(info.tcpi_last_data_recv);
+  return std::chrono::milliseconds(is_known ? info.tcpi_last_data_recv : 0);
+}
+
 void SetUpSocket(asio::ip::tcp::socket& socket,
                  std::chrono::milliseconds dead_peer_timeout) {
   asio::error_code ignored;
--- a/src/libh1/socket_io.h
+++ b/src/libh1/socket_io.h
@@ -21,6 +21,11 @@
 std::string_view ReadAvailable(asio::ip::tcp::socket& socket,
                                asio::error_code& error);
 
+/// Time since the last bytes arrived at the socket, read or not; zero where the
+/// operating system does not tell. A process that was paused reads bytes long
+/// after they arrived.
+std::chrono::milliseconds TimeSinceArrival(asio::ip::tcp::socket& socket);
+
 /// Sets TCP_NODELAY and non-blocking mode, and enables the detection of peers
 /// that disappear without a reset: keep-alive probes after a third of
 /// `dead_peer_timeout`, and TCP_USER_TIMEOUT.
--- a/src/libmesh/dispatched_call.cc
+++ b/src/libmesh/dispatched_call.cc
@@ -70,6 +70,10 @@
           ? this->parent->tree_rank
           : StableUnit(RootId(this->attempt_id,
                               this->owner.settings.fields.id_separator));
+  if (this->owner.timers->Now() >= this->deadline) {
+    this->FinishWithError(Reason::kDeadline);
+    return;
+  }
   if (!this->parent && this->ShedAtEntry()) {
     return;
   }
@@ -204,7 +208,7 @@
     this->owner.gate.RecordChildShedLevel(this->parent->id, result.shed_level);
   } else {
     this->owner.entry_shed_levels.Record(this->route.name.Value(),
-                                         result.shed_level, now);
+                                         result.shed_level, this->node, now);
   }
   if (this->owner.on_peer_versions) {
     this->owner.on_peer_versions(result.sender);
@@ -400,7 +404,13 @@
           JsonNumber("arrivals", this->arrivals) + "," +
           JsonNumber("rank_permille", Permille(this->tree_rank)) + "," +
           JsonNumber("level_permille", Permille(level)) + "," +
-          JsonNumber("age_ms", (now - this->received) / milliseconds(1)) + "," +
+          JsonString("level_from",
+                     level > 0 ? this->owner.entry_shed_levels
+                                     .LastRaisedBy(this->route.name.Value())
+                                     .Value()
+                               : "") +
+          "," + JsonNumber("age_ms", (now - this->received) / milliseconds(1)) +
+          "," +
           JsonNumber("policy", static_cast<std::int64_t>(
                                    this->policy->version().Value())));
 }
--- a/src/libmesh/entry_shed_level.cc
+++ b/src/libmesh/entry_shed_level.cc
@@ -22,6 +22,7 @@
 
 void EntryShedLevels::Record(const std::string& route,
                              double observed_level,
+                             const NodeId& reporter,
                              SteadyTime now) {
   if (observed_level <= 0 && !this->entries.contains(route)) {
     return;
@@ -30,8 +31,10 @@
   double level = DecayedLevel(entry, now);
   if (observed_level > level) {
     level += (observed_level - level) * kRiseShare;
+    entry.raised_by = reporter;
   }
-  entry = {level, now};
+  entry.level = level;
+  entry.updated = now;
 }
 
 double EntryShedLevels::LevelFor(const std::string& route,
@@ -40,4 +43,9 @@
   return found == this->entries.end() ? 0 : DecayedLevel(found->second, now);
 }
 
+NodeId EntryShedLevels::LastRaisedBy(const std::string& route) const {
+  const auto found = this->entries.find(route);
+  return found == this->entries.end() ? NodeId() : found->second.raised_by;
+}
+
 }  // namespace cassiakeel::mesh::pvt
--- a/src/libmesh/entry_shed_level.h
+++ b/src/libmesh/entry_shed_level.h
@@ -4,6 +4,7 @@
 #include <unordered_map>
 
 #include "cassiakeel/base/clock.h"
+#include "cassiakeel/base/strong.h"
 
 namespace cassiakeel::mesh::pvt {
 
@@ -12,15 +13,23 @@
 /// would be refused by a downstream node after work has been spent on it.
 class EntryShedLevels {
  public:
-  /// Records the shed level reported with the result of a request.
-  void Record(const std::string& route, double observed_level, SteadyTime now);
+  /// Records the shed level that `reporter` reported with the result of a
+  /// request.
+  void Record(const std::string& route,
+              double observed_level,
+              const NodeId& reporter,
+              SteadyTime now);
   /// The level at time `now`; 0 if nothing is shed.
   double LevelFor(const std::string& route, SteadyTime now) const;
+  /// The node whose result last raised the level; empty for none. Its own queue
+  /// or that of a node further down is delayed.
+  NodeId LastRaisedBy(const std::string& route) const;
 
  private:
   struct Entry {
     double level = 0;
     SteadyTime updated;
+    NodeId raised_by;
   };
   static double DecayedLevel(const Entry& entry, SteadyTime now);
   std::unordered_map<std::string, Entry> entries;
--- a/src/libmesh/quota_test.cc
+++ b/src/libmesh/quota_test.cc
@@ -105,10 +105,15 @@
   SteadyTime now{std::chrono::hours(1)};
   CHECK(levels.LevelFor("r", now) == 0);
   for (int i = 0; i < 20; ++i) {
-    levels.Record("r", 1.6, now);
+    levels.Record("r", 1.6, NodeId("n"), now);
   }
   CHECK(levels.LevelFor("r", now) == Approx(1.6).margin(0.1));
   CHECK(levels.LevelFor("other", now) == 0);
+  CHECK(levels.LastRaisedBy("r") == NodeId("n"));
+  CHECK(levels.LastRaisedBy("other") == NodeId());
+  // A lower level does not raise it.
+  levels.Record("r", 0.1, NodeId("later"), now);
+  CHECK(levels.LastRaisedBy("r") == NodeId("n"));
   now += std::chrono::seconds(1);
   const double later = levels.LevelFor("r", now);
   CHECK(later < 1.4);
--- a/src/libmesh/traffic_test.cc
+++ b/src/libmesh/traffic_test.cc
@@ -312,4 +312,33 @@
   node.Join();
 }
 
+// Guards against work that runs after its caller has stopped waiting, because a
+// process was paused between the arrival of the request and reading it.
+TEST_CASE("a paused node does not run requests whose time limit has passed") {
+  FakeBackend backend(RespondOk);
+  TestMesh mesh;
+  mesh.AddNode("a", "front");
+  mesh.AddNode("b", "back");
+  mesh.SetBackend("b", backend);
+  mesh.Publish({TestMesh::MakeRoute("back", false)});
+  CHECK(mesh.Call("a", "/back/1", "before").response.status == 200);
+  for (const auto* paused : {"a", "b"}) {
+    // Blocks the node's traffic thread; what arrives meanwhile stays unread.
+    std::atomic<bool> is_paused{false};
+    mesh.nodes[paused]->CollectMetrics([&is_paused](const std::string&) {
+      is_paused = true;
+      std::this_thread::sleep_for(milliseconds(800));
+    });
+    while (!is_paused) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    const auto result =
+        mesh.Call("a", "/back/1", std::string("during-") + paused, 300);
+    CHECK(result.response.status >= 500);
+    std::this_thread::sleep_for(milliseconds(900));
+    CHECK(backend.runs == 1);
+  }
+  CHECK(mesh.Call("a", "/back/1", "after").response.status == 200);
+}
+
 }  // namespace cassiakeel::mesh
