Let entry shed levels fall with results; explore few servers of a large service

After a restart of all machines the gates of the narrowest service refused almost nothing from 36.5 s on, but 325 requests were refused where they entered between 37 and 39 s: the level there rose with each result of the one server that was still delayed and fell only with time. Change 1: a result with a lower level lowers the entry's level by a tenth of the distance; a result without a response changes nothing.

Change 2: only until four endpoints have reported; four candidates of the own zone instead of two; weight 0.5 for work that may be repeated; the limit is eight medians.

--- a/src/include/cassiakeel/routing/selection.h
+++ b/src/include/cassiakeel/routing/selection.h
@@ -118,6 +118,8 @@
   /// latencies are divided by the mean of their kind and expressed for a unit
   /// of work, which takes 10 ms at an average endpoint.
   std::unordered_map<std::uint64_t, KindServiceTime> kinds;
+  /// Number of endpoints that have reported a service time.
+  int measured_endpoints = 0;
   /// Median over the endpoints of the latency of each length of work, in
   /// nanoseconds; 0 before the first response.
   std::array<double, 2> median_ns{};
@@ -150,7 +152,8 @@
 };
 
 /// Selects an endpoint by the power of two choices: takes two random candidates
-/// from each distance tier and selects the one with the lowest expected cost.
+/// from each distance tier (four from the nearest one with several endpoints,
+/// if the kind is known) and selects the one with the lowest expected cost.
 /// Draining, ejected, suspected and already tried endpoints are no candidates.
 /// When there is none, an ejected or suspected endpoint is used.
 ///
--- a/src/libmesh/dispatched_call.cc
+++ b/src/libmesh/dispatched_call.cc
@@ -204,9 +204,13 @@
   if (result.reached_backend && this->arrivals++ == 0) {
     this->RecordFirstArrival(now);
   }
+  // Without a response there is no observed level either.
+  const bool failed = result.reason == Reason::kConnectFailed ||
+                      result.reason == Reason::kConnectionLost ||
+                      result.reason == Reason::kTimeout;
   if (this->parent) {
     this->owner.gate.RecordChildShedLevel(this->parent->id, result.shed_level);
-  } else {
+  } else if (!failed) {
     this->owner.entry_shed_levels.Record(this->route.name.Value(),
                                          result.shed_level, this->node, now);
   }
@@ -219,9 +223,6 @@
       this->owner.on_state_request(pool.endpoints[known->second].address);
     }
   }
-  const bool failed = result.reason == Reason::kConnectFailed ||
-                      result.reason == Reason::kConnectionLost ||
-                      result.reason == Reason::kTimeout;
   if (failed) {
     routing::OnFailure(pool, this->node, result.reason, now);
     return;
--- a/src/libmesh/entry_shed_level.cc
+++ b/src/libmesh/entry_shed_level.cc
@@ -9,8 +9,14 @@
 // the level. Less than 1, so that a single result from a short peak does not
 // shed a whole request class.
 constexpr double kRiseShare = 0.25;
-// Decay of the level in request classes per second. Slower than the rise,
-// because a node reports level 0 as soon as calls are not delayed in its queue.
+// The same for a lower observed level. Results come from all servers that a
+// request may use; where some of them are not delayed, calls that the others
+// refuse are sent to these, and the level of the most delayed one would refuse
+// too many requests. Smaller than for a rise, because a request that is refused
+// late has cost work at up to all servers of its tree.
+constexpr double kFallShare = 0.1;
+// Decay of the level in request classes per second, for a route that gets no
+// results because all its requests are refused.
 constexpr double kDecayPerSecond = 0.4;
 
 }  // namespace
@@ -28,12 +34,13 @@
     return;
   }
   auto& entry = this->entries[route];
-  double level = DecayedLevel(entry, now);
-  if (observed_level > level) {
-    level += (observed_level - level) * kRiseShare;
+  const double level = DecayedLevel(entry, now);
+  const bool rises = observed_level > level;
+  if (rises) {
     entry.raised_by = reporter;
   }
-  entry.level = level;
+  entry.level =
+      level + (observed_level - level) * (rises ? kRiseShare : kFallShare);
   entry.updated = now;
 }
 
--- a/src/librouting/pool.cc
+++ b/src/librouting/pool.cc
@@ -27,13 +27,18 @@
 constexpr int kFailuresToEject = 3;
 // The endpoint reports averages, so that a few responses suffice.
 constexpr double kRelativeTimeWeight = 0.2;
-// A single latency counts at most this many times the median of its kind, so
-// that two rare long calls do not make their endpoint look slow. Above
-// kSlowFactor, which four slow calls in a row reach.
-constexpr double kMaxUnitLatency = 4;
+// A single latency counts at most this many times the median, so that a rare
+// long call, of seven times the usual work, does not exclude its endpoint. The
+// first call that takes longer does: at a node of a large service it is often
+// the only one that reaches the endpoint within a second.
+constexpr double kMaxLatencyMedians = 8;
 // Expected service time of an endpoint that has not reported any, relative to
-// the median. Below 1, so that each endpoint gets a call that shows its speed.
+// the median, until this number of endpoints has. Below 1, so that each
+// endpoint of a small service gets a call that shows its speed. In a large
+// service the near endpoints are enough to choose from, and one call of each
+// node to each endpoint would be a large part of all calls.
 constexpr double kUnknownServiceTime = 0.4;
+constexpr int kMinMeasuredEndpoints = 4;
 // Kinds whose service time is kept for an endpoint. A policy names some dozens;
 // the bound protects against one that renames its routes with each change.
 constexpr std::size_t kMaxKinds = 1024;
@@ -145,6 +150,9 @@
   }
   const auto [known, is_new] = stats.service_times.try_emplace(response.kind);
   known->second = {ns, now};
+  if (is_new && stats.service_times.size() == 1) {
+    ++pool.measured_endpoints;
+  }
   auto& kind = pool.kinds[response.kind];
   if (is_new || ++kind.responses_since_median >= kResponsesPerMedian) {
     UpdateKindMedian(pool, response.kind);
@@ -157,9 +165,15 @@
 // unknown, in nanoseconds.
 double UnitLatency(const Pool& pool, const ResponseInfo& response) {
   const auto ns = static_cast<double>(response.latency.count());
-  const double median = pvt::MedianServiceTime(pool, response.kind);
-  return median > 0 ? std::min(ns / median, kMaxUnitLatency) * pvt::kUnitWorkNs
-                    : ns;
+  const double service_ns = pvt::MedianServiceTime(pool, response.kind);
+  if (service_ns <= 0) {
+    return ns;
+  }
+  // The median latency is above the unit where calls wait in queues.
+  const double median =
+      std::max(pvt::kUnitWorkNs, pool.median_ns[LengthIndex(response.length)]);
+  return std::min(ns / service_ns * pvt::kUnitWorkNs,
+                  median * kMaxLatencyMedians);
 }
 
 void RecordLatency(Pool& pool,
@@ -301,7 +315,9 @@
                            SteadyTime now) {
   const double median = MedianServiceTime(pool, kind);
   if (stats.service_times.empty()) {
-    return stats.in_flight == 0 ? median * kUnknownServiceTime : median;
+    const bool explore =
+        stats.in_flight == 0 && pool.measured_endpoints < kMinMeasuredEndpoints;
+    return explore ? median * kUnknownServiceTime : median;
   }
   const auto reported = stats.service_times.find(kind);
   if (reported == stats.service_times.end()) {
@@ -343,6 +359,9 @@
   pool.index = std::move(index);
   pool.tiers.clear();
   pool.distance_ns.clear();
+  pool.measured_endpoints = static_cast<int>(std::count_if(
+      pool.stats.begin(), pool.stats.end(),
+      [](const auto& item) { return !item.service_times.empty(); }));
   GroupByDistance(pool);
   ExcludeSuspected(pool);
 }
--- a/src/librouting/selection.cc
+++ b/src/librouting/selection.cc
@@ -1,6 +1,7 @@
 #include "cassiakeel/routing/selection.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "pool.h"
 
@@ -42,7 +43,7 @@
 // Weight of the difference in service time against the distance, which includes
 // the cost of traffic between availability zones. Higher for work with a single
 // attempt: if its server is too slow for the time limit, the request fails.
-constexpr double kServiceTimeWeight = 1;
+constexpr double kServiceTimeWeight = 0.5;
 constexpr double kSingleAttemptWeight = 2;
 // Shares of slots in use up to which a faster server is preferred fully, and
 // from which on it is not preferred any more. In between the preference fades,
@@ -157,19 +158,29 @@
          now - *stats.ejected_until >= kCriticalProbeDelay;
 }
 
-// Reservoir sampling of two members from a sequence of unknown length.
-struct PairSample {
-  std::array<std::size_t, 2> members{};
-  std::size_t seen = 0;
+// Number of random candidates per distance tier, and for the nearest tier where
+// the speeds of the servers are known: with two, a caller would often miss the
+// fast servers of its own availability zone and use one of another.
+constexpr std::size_t kCandidates = 2;
+constexpr std::size_t kNearCandidates = 4;
+
+// Reservoir sampling of some members from a sequence of unknown length.
+struct Sample {
+  explicit Sample(std::size_t capacity) : capacity(capacity) {}
 
   void Add(std::size_t index, Rng& rng) {
-    if (this->seen < 2) {
+    if (this->seen < this->capacity) {
       this->members[this->seen] = index;
-    } else if (const auto place = rng() % (this->seen + 1); place < 2) {
+    } else if (const auto place = rng() % (this->seen + 1);
+               place < this->capacity) {
       this->members[place] = index;
     }
     ++this->seen;
   }
+
+  std::array<std::size_t, kNearCandidates> members{};
+  std::size_t capacity;
+  std::size_t seen = 0;
 };
 
 }  // namespace
@@ -183,14 +194,14 @@
   const double service_room = request.kind == 0 ? 1 : ServiceRoom(pool, now);
   std::optional<std::size_t> best;
   double best_cost = 0;
-  PairSample last_resort;
+  Sample last_resort(kCandidates);
   bool any_candidate = false;
-  const auto consider_pair = [&](const PairSample& sample) {
-    const auto count = std::min<std::size_t>(2, sample.seen);
-    // Begins with a random one of the two, so that ties are broken at random.
-    const auto first = count == 2 ? rng() % 2 : 0;
+  const auto consider = [&](const Sample& sample) {
+    const auto count = std::min(sample.capacity, sample.seen);
+    // Begins with a random one, so that ties are broken at random.
+    const auto first = count > 1 ? rng() % count : 0;
     for (std::size_t i = 0; i < count; ++i) {
-      const auto member = sample.members[(first + i) % 2];
+      const auto member = sample.members[(first + i) % count];
       const double cost = Cost(pool, member, request, service_room, now);
       if (!best || cost < best_cost) {
         best = member;
@@ -198,8 +209,12 @@
       }
     }
   };
+  std::size_t near_candidates =
+      request.kind == 0 ? kCandidates : kNearCandidates;
   for (const auto& tier : pool.tiers) {
-    PairSample sample;
+    // The own machine is a tier of its own.
+    Sample sample(tier.size() > 1 ? std::exchange(near_candidates, kCandidates)
+                                  : kCandidates);
     for (const auto index : tier) {
       const auto& stats = pool.stats[index];
       if (pvt::IsLeaving(pool, index, now) ||
@@ -218,7 +233,7 @@
         sample.Add(index, rng);
       }
     }
-    consider_pair(sample);
+    consider(sample);
   }
   if (best) {
     return {best, Reason::kNone};
@@ -226,7 +241,7 @@
   if (any_candidate) {
     return {std::nullopt, Reason::kOverload};
   }
-  consider_pair(last_resort);
+  consider(last_resort);
   return {best, best ? Reason::kNone : Reason::kNoEndpoint};
 }
 
--- a/src/librouting/server_speed_test.cc
+++ b/src/librouting/server_speed_test.cc
@@ -223,4 +223,38 @@
   CHECK(*SelectEndpoint(pool, request, now + seconds(60), rng).endpoint == 1);
 }
 
+// Guards against each node of a large fleet calling each endpoint in other
+// availability zones once, only to learn its speed.
+TEST_CASE("a node of a large service does not explore all of its endpoints") {
+  Pool pool;
+  pool.distance[ZoneName("near")] = milliseconds(1);
+  pool.default_distance = milliseconds(80);
+  std::vector<Endpoint> endpoints;
+  for (int i = 0; i < 24; ++i) {
+    Endpoint endpoint;
+    endpoint.node = NodeId("n" + std::to_string(i));
+    endpoint.zone = ZoneName(i < 6 ? "near" : "far");
+    endpoints.push_back(endpoint);
+  }
+  UpdateEndpoints(pool, endpoints);
+  Rng rng(1);
+  SelectionRequest request;
+  request.kind = kLong;
+  request.single_attempt = true;
+  auto now = kStartTime;
+  int far_calls = 0;
+  for (int i = 0; i < 200; ++i) {
+    now += milliseconds(100);
+    const auto selected = *SelectEndpoint(pool, request, now, rng).endpoint;
+    far_calls += selected >= 6 ? 1 : 0;
+    OnDispatch(pool, pool.endpoints[selected].node, now);
+    ResponseInfo response;
+    response.kind = kLong;
+    response.latency = milliseconds(250);
+    response.typical_service_time = milliseconds(250);
+    OnResponse(pool, pool.endpoints[selected].node, response, now);
+  }
+  CHECK(far_calls <= 4);
+}
+
 }  // namespace cassiakeel::routing
