--- a/src/include/cassiakeel/http/client.h
+++ b/src/include/cassiakeel/http/client.h
@@ -64,7 +64,9 @@
   std::function<bool(std::string_view chunk)> on_data;
 };
 
-/// HTTP/1.1 client for one Asio thread, based on libcurl's multi interface. It
+/// HTTP/1.1 client for one Asio thread, based on libcurl's multi interface. A
+/// response with more than 64 KiB of header, or with more than 16 MiB of body
+/// that is not streamed, ends with `kNoResponse`. The client
 /// reuses connections and sends each request at most once: libcurl's automatic
 /// retry on a failed connection is prevented, because the server may already
 /// have processed the first copy.
--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -257,7 +257,8 @@
   const auto client = Client::Create(loop.io_context, loop.timers, {});
   auto fetch = GetFrom(loop, server.address(), "1");
   fetch.deadline = loop.clock.Now() + milliseconds(100);
-  CHECK(Run(loop, *client, std::move(fetch)).end == FetchEnd::kTimeout);
+  const auto result = Run(loop, *client, std::move(fetch));
+  CHECK(result.end == FetchEnd::kTimeout);
 }
 
 // Guards against several faulty servers that together exhaust the memory of the
--- a/src/libhttp/client.cc
+++ b/src/libhttp/client.cc
@@ -16,6 +16,12 @@
 // request is sent on a connection that the peer is about to close.
 constexpr long kMaxIdleSeconds = 20;
 constexpr long kMaxCachedConnections = 512;
+// Bounds on a response that is held in memory. The largest ones are objects of
+// the platform's store, of at most 8 MiB.
+constexpr std::size_t kMaxHeaderBytes = 64U << 10U;
+constexpr std::size_t kMaxBodyBytes = 16U << 20U;
+// Returned by a callback to end the transfer with an error.
+constexpr std::size_t kAbortTransfer = 0;
 
 void InitCurlOnce() {
   static std::once_flag once;
@@ -36,6 +42,7 @@
   std::unique_ptr<CURL, EasyDeleter> easy;
   std::unique_ptr<curl_slist, HeaderListDeleter> header_list;
   ExchangeResult result;
+  std::size_t header_bytes = 0;
   bool sent = false;
   bool start_notified = false;
 };
@@ -51,6 +58,10 @@
 std::size_t OnHeader(char* data, std::size_t, std::size_t size, void* arg) {
   auto* exchange = static_cast<Exchange*>(arg);
   const std::string_view line(data, size);
+  exchange->header_bytes += size;
+  if (exchange->header_bytes > kMaxHeaderBytes) {
+    return kAbortTransfer;
+  }
   if (line.starts_with("HTTP/")) {
     exchange->result.headers.clear();
     return size;
@@ -81,6 +92,9 @@
 std::size_t OnBody(char* data, std::size_t, std::size_t size, void* arg) {
   auto* exchange = static_cast<Exchange*>(arg);
   if (!exchange->handler.on_data) {
+    if (exchange->result.body.size() + size > kMaxBodyBytes) {
+      return kAbortTransfer;
+    }
     exchange->result.body.append(data, size);
     return size;
   }
--- a/src/libhttp/http_test.cc
+++ b/src/libhttp/http_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <optional>
+#include <thread>
 
 #include "cassiakeel/http/client.h"
 #include "cassiakeel/http/server.h"
@@ -184,6 +185,43 @@
 }
 
 // Guards against work that continues after the caller closed its connection.
+// Guards against a faulty peer that exhausts the memory of the process.
+TEST_CASE("a response without an end fails long before its time limit") {
+  for (const std::string head :
+       {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\n\r\n"}) {
+    INFO(head);
+    asio::io_context io;
+    asio::io_context peer_io;
+    asio::ip::tcp::acceptor acceptor(peer_io,
+                                     {asio::ip::address_v4::loopback(), 0});
+    // Writes header fields in the first case, a body in the second.
+    std::thread peer([&] {
+      asio::ip::tcp::socket socket(peer_io);
+      acceptor.accept(socket);
+      asio::error_code error;
+      asio::write(socket, asio::buffer(head), error);
+      std::string chunk;
+      while (chunk.size() < (64U << 10U)) {
+        chunk += "X-Field: value\r\n";
+      }
+      while (!error) {
+        asio::write(socket, asio::buffer(chunk), error);
+      }
+    });
+    {
+      auto client = Client::Create(io);
+      auto request = RequestTo(
+          PeerAddress("127.0.0.1:" +
+                      std::to_string(acceptor.local_endpoint().port())),
+          "POST");
+      request.timeout = std::chrono::seconds(60);
+      CHECK(RunExchange(io, **client, std::move(request)).end ==
+            ExchangeEnd::kNoResponse);
+    }
+    peer.join();
+  }
+}
+
 TEST_CASE("the server detects that the peer closed the connection") {
   asio::io_context io;
   bool closed = false;
