--- a/cmake/CassiakeelTargets.cmake
+++ b/cmake/CassiakeelTargets.cmake
@@ -16,6 +16,9 @@
   install(TARGETS ${target} EXPORT cassiakeel-targets)
 endfunction()
 
+# All unit test programs, without the programs that only end-to-end cases run.
+add_custom_target(unit_tests)
+
 # cassiakeel_test(name SOURCES a_test.cc ... DEPENDS target ...)
 #
 # Adds the one test program of a library, <name>_test, and registers it.
@@ -31,6 +34,7 @@
   target_link_libraries(${target} PRIVATE ${ARG_DEPENDS} Catch2::Catch2
                                           trompeloeil::trompeloeil rapidcheck)
   add_test(NAME ${target} COMMAND ${target})
+  add_dependencies(unit_tests ${target})
   # A fixed seed gives the same verdict in every run; a search with other seeds
   # is scripts/check-history.
   set_tests_properties(
