--- a/src/include/cassiakeel/routing/selection.h
+++ b/src/include/cassiakeel/routing/selection.h
@@ -115,8 +115,8 @@
   std::vector<bool> excluded;
   /// By kind of work. A service with short and long kinds has no common
   /// latency: an endpoint that just served two long calls would look slow. So
-  /// latencies are divided by the mean of their kind and expressed for a unit
-  /// of work, which takes 10 ms at an average endpoint.
+  /// latencies are divided by the median service time of their kind and
+  /// expressed for a unit of work, which takes 10 ms at the median endpoint.
   std::unordered_map<std::uint64_t, KindServiceTime> kinds;
   /// Number of endpoints that have reported a service time.
   int measured_endpoints = 0;
