Let the sockets of a test end before their context

Cause: AddressSanitizer, first run of the new h1 tests: the sockets that a test kept outlived the io_context of its server. Change: they belong to the server's thread. The check is the same. Measured: asan h1_test 26 cases, routing_test 26, mesh_test 53, http_test 8, platform_adapter_test 10, all pass; release h1_test passes.

--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -150,11 +150,13 @@
 // outcome of the next attempt of the same request, which does run.
 TEST_CASE("a connection is not reused for the id that it has just carried") {
   TestLoop loop;
-  std::vector<tcp::socket> open_sockets;
-  RawServer server([&open_sockets](tcp::socket& socket) {
+  // Belongs to the server's thread, which ends before its sockets' context.
+  auto open_sockets = std::make_shared<std::vector<tcp::socket>>();
+  RawServer server([open_sockets =
+                        std::move(open_sockets)](tcp::socket& socket) {
     ReadHead(socket);
     Reply(socket, "HTTP/1.1 503 Full\r\nId: 1\r\nContent-Length: 0\r\n\r\n");
-    open_sockets.push_back(std::move(socket));
+    open_sockets->push_back(std::move(socket));
   });
   const auto client = Client::Create(loop.io_context, loop.timers, {});
   Run(loop, *client, GetFrom(loop, server.address(), "1"));
