Name the result of a moved request in http_test

Cause: clang-tidy reads the CHECK macro as a use after the move. Change: the result has a name; the check is the same.

--- a/src/libhttp/http_test.cc
+++ b/src/libhttp/http_test.cc
@@ -215,8 +215,8 @@
                       std::to_string(acceptor.local_endpoint().port())),
           "POST");
       request.timeout = std::chrono::seconds(60);
-      CHECK(RunExchange(io, **client, std::move(request)).end ==
-            ExchangeEnd::kNoResponse);
+      const auto result = RunExchange(io, **client, std::move(request));
+      CHECK(result.end == ExchangeEnd::kNoResponse);
     }
     peer.join();
   }
