--- a/src/libh1/buffer_budget.h
+++ b/src/libh1/buffer_budget.h
@@ -4,7 +4,9 @@
 
 namespace cassiakeel::h1::pvt {
 
-/// Memory for the messages that are being received by one client or server.
+/// Memory for the messages that are being received by one client or server. The
+/// load this answers: peers in trouble that send without end, one or several at
+/// a time, beside others whose messages have to get through.
 class BufferBudget {
  public:
   std::size_t used() const { return this->used_bytes; }
--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -1,5 +1,7 @@
+#include <deque>
 #include <vector>
 
+#include "buffer_budget.h"
 #include "h1_test_support.h"
 
 namespace cassiakeel::h1 {
@@ -266,6 +268,40 @@
   CHECK(result.end == FetchEnd::kTimeout);
 }
 
+// The load this answers: messages without an end, one or several, beside usual
+// ones.
+TEST_CASE("endless messages leave their share of the budget to others") {
+  constexpr std::size_t kLimit = 1000;
+  for (const std::size_t count : {1U, 3U, 9U}) {
+    pvt::BufferBudget budget;
+    std::deque<pvt::BufferShare> endless;
+    for (std::size_t i = 0; i < count; ++i) {
+      endless.emplace_back(budget);
+    }
+    // All grow by one byte in turn, until each has reached its share.
+    std::vector<std::size_t> held(count, 0);
+    for (std::size_t step = 0; step < kLimit; ++step) {
+      for (std::size_t i = 0; i < count; ++i) {
+        endless[i].Set(held[i] + 1);
+        if (endless[i].Fits(kLimit)) {
+          ++held[i];
+        } else {
+          endless[i].Set(held[i]);
+        }
+      }
+    }
+    INFO(count);
+    CHECK(budget.used() <= kLimit * count / (count + 1));
+    CHECK(budget.used() >= kLimit * count / (count + 1) - count);
+    pvt::BufferShare usual(budget);
+    usual.Set(kLimit / (count + 1) / 2);
+    CHECK(usual.Fits(kLimit));
+    endless.clear();
+    usual.Set(0);
+    CHECK(budget.used() == 0);
+  }
+}
+
 // Guards against several faulty servers that together exhaust the memory of the
 // node, and against other servers failing because of them.
 TEST_CASE("endless bodies leave memory for other responses") {
--- a/src/libh1/h1_test.cc
+++ b/src/libh1/h1_test.cc
@@ -127,8 +127,7 @@
   });
   tcp::socket socket(loop.io_context);
   socket.connect(EndpointOf(loop.address));
-  loop.io_context.run_for(milliseconds(20));
-  loop.io_context.restart();
+  loop.RunFor(milliseconds(20));
   const auto sent = loop.clock.Now();
   asio::write(socket,
               asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
--- a/src/libh1/h1_test_support.h
+++ b/src/libh1/h1_test_support.h
@@ -36,6 +36,11 @@
     REQUIRE(done());
   }
 
+  void RunFor(milliseconds time) {
+    this->io_context.run_for(time);
+    this->io_context.restart();
+  }
+
   std::unique_ptr<Server> Serve(ExchangeHandler handler) {
     this->address = PeerAddress("127.0.0.1:" + std::to_string(FreePort()));
     auto server = Server::Create(this->io_context, this->timers, this->address,
@@ -74,8 +79,7 @@
   std::string received;
   const auto end = loop.clock.Now() + milliseconds(300);
   while (loop.clock.Now() < end) {
-    loop.io_context.run_for(milliseconds(5));
-    loop.io_context.restart();
+    loop.RunFor(milliseconds(5));
     std::array<char, 4096> buffer{};
     asio::error_code error;
     const auto count = socket.read_some(asio::buffer(buffer), error);
--- a/src/libh1/shutdown_test.cc
+++ b/src/libh1/shutdown_test.cc
@@ -21,8 +21,7 @@
   });
   tcp::socket socket(loop.io_context);
   socket.connect(EndpointOf(loop.address));
-  loop.io_context.run_for(milliseconds(20));
-  loop.io_context.restart();
+  loop.RunFor(milliseconds(20));
   server->StopAccepting();
   asio::write(socket,
               asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
@@ -42,8 +41,7 @@
   const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
   tcp::socket accepted(loop.io_context);
   accepted.connect(EndpointOf(loop.address));
-  loop.io_context.run_for(milliseconds(20));
-  loop.io_context.restart();
+  loop.RunFor(milliseconds(20));
   // When the server shuts down, it has neither accepted the new connection nor
   // read the request on the accepted one; both are only in the kernel.
   tcp::socket pending(loop.io_context);
@@ -65,13 +63,11 @@
   });
   tcp::socket accepted(loop.io_context);
   accepted.connect(EndpointOf(loop.address));
-  loop.io_context.run_for(milliseconds(20));
-  loop.io_context.restart();
+  loop.RunFor(milliseconds(20));
   tcp::socket pending(loop.io_context);
   pending.connect(EndpointOf(loop.address));
   server->Shutdown();
-  loop.io_context.run_for(milliseconds(10));
-  loop.io_context.restart();
+  loop.RunFor(milliseconds(10));
   const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
   asio::write(accepted, asio::buffer(request));
   asio::write(pending, asio::buffer(request));
@@ -90,11 +86,9 @@
   asio::write(socket,
               asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: h\r\n"
                                        "Content-Length: 8\r\n\r\nfour")));
-  loop.io_context.run_for(milliseconds(20));
-  loop.io_context.restart();
+  loop.RunFor(milliseconds(20));
   server->Shutdown();
-  loop.io_context.run_for(milliseconds(20));
-  loop.io_context.restart();
+  loop.RunFor(milliseconds(20));
   asio::write(socket, asio::buffer(std::string("more")));
   ReadUntil(loop, socket, "fourmore");
   loop.RunUntil([&server] { return server->OpenConnections() == 0; });
@@ -112,8 +106,7 @@
   ReadUntil(loop, idle, "kept");
   tcp::socket silent(loop.io_context);
   silent.connect(EndpointOf(loop.address));
-  loop.io_context.run_for(milliseconds(20));
-  loop.io_context.restart();
+  loop.RunFor(milliseconds(20));
   server->Shutdown();
   CHECK(server->OpenConnections() == 1);
   loop.RunUntil([&server] { return server->OpenConnections() == 0; },
--- a/src/libmesh/latency_test.cc
+++ b/src/libmesh/latency_test.cc
@@ -23,7 +23,9 @@
     fetch.peer = peer;
     fetch.request = {"GET",
                      "/back/1",
-                     {{"Host", "host"}, {"Attempt", "a"}, {"Timeout", "2000"}},
+                     {{"Host", "host"},
+                      {"Attempt", "a" + std::to_string(this->next_id++)},
+                      {"Timeout", "2000"}},
                      {}};
     fetch.deadline = this->clock.Now() + std::chrono::seconds(2);
     std::optional<SteadyTime> answered;
@@ -43,6 +45,8 @@
   SystemClock clock;
   std::shared_ptr<h1::TimerQueue> timers;
   std::unique_ptr<h1::Client> client;
+  /// Each attempt has its own id, as those of callers.
+  int next_id = 1;
 };
 
 double Percentile(std::vector<double> values, double share) {
@@ -58,7 +62,7 @@
 // mesh_test "[measure]".
 TEST_CASE("two nodes add at most 0.38 ms to a call", "[.measure]") {
   // The rate of one node: 77,000 calls per second over 830 nodes.
-  constexpr microseconds kPause{std::chrono::seconds(1) / 93};
+  constexpr auto kPause = microseconds(std::chrono::seconds(1)) / 93;
   constexpr int kCalls = 2000;
   FakeBackend backend([](const std::shared_ptr<h1::Exchange>& exchange) {
     exchange->Respond(FakeBackend::Success(exchange->request()));
--- a/testsuite/history/schedules/schedules_test.cc
+++ b/testsuite/history/schedules/schedules_test.cc
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include "explore.h"
+#include "worker.h"
 
 namespace cassiakeel::history {
 namespace {
@@ -29,6 +30,22 @@
 
 }  // namespace
 
+// Guards against simulated processes, each with a thread, that stay to the end
+// of the program because their worker keeps the last job, which owns them.
+TEST_CASE("a worker releases a job that has ended or was killed") {
+  Worker worker;
+  const auto owned = std::make_shared<int>(0);
+  worker.Start([owned] {});
+  CHECK(owned.use_count() == 1);
+  worker.Start([owned, &worker] { worker.Yield(); });
+  CHECK(owned.use_count() == 2);
+  worker.Resume();
+  CHECK(owned.use_count() == 1);
+  worker.Start([owned, &worker] { worker.Yield(); });
+  worker.Kill();
+  CHECK(owned.use_count() == 1);
+}
+
 // Guards against protocol errors that show only in combinations of leases,
 // handoffs, lost answers, pauses and clock errors.
 TEST_CASE("no generated fault schedule violates an invariant") {
--- a/testsuite/history/schedules/worker.cc
+++ b/testsuite/history/schedules/worker.cc
@@ -47,6 +47,12 @@
 void Worker::Switch() {
   this->to_worker.release();
   this->to_test.acquire();
+  if (!this->busy) {
+    // A job may own the simulated process that owns this worker. Keeping the
+    // job would keep that process, and this thread, to the end of the test
+    // program.
+    this->job = nullptr;
+  }
 }
 
 void Worker::Loop() {
