--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import pathlib
@@ -433,7 +434,9 @@
 
     async def stop(self):
         if self.running():
-            self.process.send_signal(signal.SIGKILL)
+            # The process may end by itself at this moment.
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(signal.SIGKILL)
             await self.process.wait()
 
     async def is_ready(self):
