Restore a server's departure from the directory row after a restart

Cause: the departure stood in the memory of BackendWatch only. A row that says "leaving" may also mean that reports stopped, so a restarted node ignored it, took a late report as its first knowledge and wrote "leaving": false. Evidence: the case records the row with leaving=True before the restart, and the node's log has "backend" with leaving 0 at the late report.

Change: the row has "departed", which is final for a server process. A node restores it (log line departure_restored), holds reports back until it knows its own row, and publishes the departure of a server that it does not know.

Tests: without RestoreDeparture, "a restarted node does not take up a server that has departed" and "a report has no effect before the node knows its own row" fail (200 instead of 503, one run instead of none); the second also fails without the holding back alone.

--- a/src/include/cassiakeel/mesh/backend.h
+++ b/src/include/cassiakeel/mesh/backend.h
@@ -56,7 +56,11 @@
   Slots slots{1};
   /// Start time of the server, ms since the Unix epoch, as in its reports.
   std::int64_t started_at_ms = 0;
+  /// The server gets no calls: it has departed, or its reports have stopped.
   bool leaving = false;
+  /// The server has announced its departure, which is final for this server
+  /// process. A restarted node takes it from here.
+  bool departed = false;
   friend bool operator==(const DirectoryEntry&,
                          const DirectoryEntry&) = default;
 };
--- a/src/include/cassiakeel/mesh/backend_watch.h
+++ b/src/include/cassiakeel/mesh/backend_watch.h
@@ -29,10 +29,15 @@
   /// Restores the state that this node published before it restarted, unless
   /// the server has already sent a report.
   void Restore(const BackendReport& report);
+  /// Restores a departure that this node published before it restarted. Applies
+  /// to a report that has arrived since, and to those that still arrive late.
+  /// Returns false if it was known.
+  bool RestoreDeparture(const InstanceId& instance, std::int64_t started_at_ms);
   /// Processes a deregistration: the server has stopped or is about to. Also
   /// applies to a server that this node does not know yet, because reports sent
-  /// before the deregistration may still arrive. `started_at_ms` is 0 if the
-  /// server did not send it.
+  /// before the deregistration may still arrive; a server that started later
+  /// than the known one becomes the current one, so that its departure is
+  /// published. `started_at_ms` is 0 if the server did not send it.
   void OnDeparture(const InstanceId& instance, std::int64_t started_at_ms);
   const LocalBackend& current() const { return this->backend; }
 
@@ -41,6 +46,8 @@
       : clock(clock), timers(std::move(timers)), timer(this->timers) {}
   bool IsNewer(const BackendReport& report) const;
   bool HasDeparted(const BackendReport& report) const;
+  void RecordDeparture(const InstanceId& instance, std::int64_t started_at_ms);
+  void ApplyDeparture();
   void RestartTimer();
 
   const Clock& clock;
--- a/src/libmesh/backend_watch.cc
+++ b/src/libmesh/backend_watch.cc
@@ -63,22 +63,54 @@
   }
 }
 
+bool BackendWatch::RestoreDeparture(const InstanceId& instance,
+                                    std::int64_t started_at_ms) {
+  if (this->departed_instance == instance &&
+      this->departed_start_ms >= started_at_ms) {
+    return false;
+  }
+  this->RecordDeparture(instance, started_at_ms);
+  this->ApplyDeparture();
+  return true;
+}
+
 void BackendWatch::OnDeparture(const InstanceId& instance,
                                std::int64_t started_at_ms) {
   const auto& known = this->backend.report;
-  const auto now_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-      this->clock.WallNow().time_since_epoch());
-  this->departed_instance = instance;
-  if (started_at_ms > 0) {
+  if (started_at_ms > known.started_at_ms) {
+    this->RecordDeparture(instance, started_at_ms);
+    this->backend = {};
+    this->backend.report.instance = instance;
+    this->backend.report.started_at_ms = started_at_ms;
+    this->backend.report.leaving = true;
+    this->on_change(this->backend);
+    return;
+  }
+  if (started_at_ms <= 0) {
+    const auto now_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->clock.WallNow().time_since_epoch());
+    // Without a known start time: the server runs on this machine and uses the
+    // same clock, so that it must have started before now.
+    started_at_ms = known.instance == instance && known.started_at_ms > 0
+                        ? known.started_at_ms
+                        : now_ms.count();
+  }
+  this->RecordDeparture(instance, started_at_ms);
+  this->ApplyDeparture();
+}
+
+void BackendWatch::RecordDeparture(const InstanceId& instance,
+                                   std::int64_t started_at_ms) {
+  // A late copy of an earlier departure does not replace a later one.
+  if (started_at_ms >= this->departed_start_ms) {
+    this->departed_instance = instance;
     this->departed_start_ms = started_at_ms;
-  } else if (known.instance == instance && known.started_at_ms > 0) {
-    this->departed_start_ms = known.started_at_ms;
-  } else {
-    // The server runs on this machine and uses the same clock, so that it must
-    // have started before now.
-    this->departed_start_ms = now_ms.count();
   }
-  if (!this->HasDeparted(known) || known.leaving) {
+}
+
+void BackendWatch::ApplyDeparture() {
+  if (!this->HasDeparted(this->backend.report) ||
+      this->backend.report.leaving) {
     return;
   }
   this->backend.report.leaving = true;
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -146,6 +146,9 @@
   }
 
   void OnBackend(const LocalBackend& backend) {
+    if (!this->own_row_known) {
+      return;
+    }
     this->log.Write(
         "backend",
         pvt::JsonString("instance", backend.report.instance.Value()) + "," +
@@ -162,11 +165,15 @@
                         ? this->mesh.inbound_address
                         : this->mesh.advertised_address;
     entry.zone = this->mesh.zone;
-    entry.service = backend.report.service;
+    // A server that left before its first report has not named its service.
+    entry.service = backend.report.service.Value().empty()
+                        ? this->mesh.service
+                        : backend.report.service;
     entry.instance = backend.report.instance;
     entry.slots = backend.report.slots;
     entry.started_at_ms = backend.report.started_at_ms;
     entry.leaving = backend.report.leaving || !backend.present;
+    entry.departed = backend.report.leaving;
     this->registrar->Publish(entry);
   }
 
@@ -219,21 +226,41 @@
   }
 
   // Restores the backend server from this node's directory row, so that a
-  // restarted node serves it before the next report. A row of a server that is
-  // gone is harmless, because each request names the expected instance.
+  // restarted node serves it before the next report, and does not take it up
+  // again if it has departed. A row of a server that is gone is harmless,
+  // because each request names the expected instance. Reports that arrived
+  // before the row was known take effect here.
   void RestoreBackend(const Directory& directory) {
     const auto found = directory.find(this->mesh.node);
-    if (found == directory.end() || found->second.leaving ||
-        found->second.service != this->mesh.service ||
+    if (found != directory.end()) {
+      this->RestoreFrom(found->second);
+    }
+    if (!std::exchange(this->own_row_known, true) &&
+        !this->watch->current().report.instance.Value().empty()) {
+      this->OnBackend(this->watch->current());
+    }
+  }
+
+  void RestoreFrom(const DirectoryEntry& own) {
+    if (own.departed) {
+      if (this->watch->RestoreDeparture(own.instance, own.started_at_ms)) {
+        this->log.Write(
+            "departure_restored",
+            pvt::JsonString("instance", own.instance.Value()) + "," +
+                pvt::JsonNumber("started_at_ms", own.started_at_ms));
+      }
+      return;
+    }
+    if (own.leaving || own.service != this->mesh.service ||
         this->mesh.backend_address.Value().empty()) {
       return;
     }
     BackendReport report;
-    report.instance = found->second.instance;
-    report.service = found->second.service;
+    report.instance = own.instance;
+    report.service = own.service;
     report.address = this->mesh.backend_address;
-    report.slots = found->second.slots;
-    report.started_at_ms = found->second.started_at_ms;
+    report.slots = own.slots;
+    report.started_at_ms = own.started_at_ms;
     this->watch->Restore(report);
   }
 
@@ -251,6 +278,10 @@
   /// refused.
   RowMap policy_in_force;
   std::uint64_t directory_version = 0;
+  /// The directory, and with it this node's row, was read from the store or
+  /// received from a peer. Until then, reports of the backend server are held
+  /// back: a late one may be of a server whose departure is in the row.
+  bool own_row_known = false;
   std::function<void()> pending_confirm;
 };
 
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -76,6 +76,55 @@
   std::unique_ptr<MeshControl> control;
 };
 
+// The report that the backend server of `mesh` beside `node` sends.
+BackendReport ReportOf(const FakeBackend& backend,
+                       std::int64_t started_at_ms,
+                       std::uint64_t sequence) {
+  auto report = MakeReport("i", started_at_ms, sequence);
+  report.service = ServiceName("back");
+  report.address = backend.address;
+  return report;
+}
+
+// One node that restarts: its store, its backend server and what it has to know
+// besides its own row to forward requests.
+struct RestartedNode {
+  explicit RestartedNode(const std::string& own_row) : node(mesh, loop, "n") {
+    this->node.store.Put("config", "7");
+    this->node.store.Put("n", own_row);
+  }
+  void Report(std::int64_t started_at_ms, std::uint64_t sequence) {
+    this->node.control->OnReport(
+        ReportOf(this->backend, started_at_ms, sequence), [] {});
+  }
+  void Run() { this->loop.RunFor(milliseconds(60), this->node.store); }
+  int StatusOfCall() {
+    this->Run();
+    return this->mesh.Call("n", "/back/1", "id").response.status;
+  }
+  DirectoryEntry StoredRow() {
+    return *DecodeDirectoryEntry("n", this->node.store.rows["n"].value);
+  }
+
+  FakeBackend backend{[](const std::shared_ptr<h1::Exchange>& exchange) {
+    exchange->Respond(FakeBackend::Success(exchange->request()));
+  }};
+  ControlLoop loop;
+  TestMesh mesh;
+  ControlledNode node;
+};
+
+// The row of the server in `ReportOf`, which started at 100.
+std::string OwnRow(bool departed) {
+  auto entry = MakeEntry("i");
+  entry.node = NodeId("n");
+  entry.service = ServiceName("back");
+  entry.started_at_ms = 100;
+  entry.leaving = true;
+  entry.departed = departed;
+  return EncodeDirectoryEntry(entry);
+}
+
 // A follower that has read a table with one row.
 struct FollowerFixture {
   FollowerFixture() {
@@ -171,6 +220,67 @@
   CHECK(watch->current().report.instance.Value() == "successor");
 }
 
+// Guards against a server that left and is used again after a restart of its
+// node, because a report from before its departure arrives late.
+TEST_CASE("a restarted node does not take up a server that has departed") {
+  RestartedNode restarted(OwnRow(true));
+  restarted.node.control->Start();
+  restarted.Run();
+  restarted.Report(100, 9);
+  CHECK(restarted.StatusOfCall() == 503);
+  CHECK(restarted.backend.runs == 0);
+  CHECK(restarted.StoredRow().departed);
+  // Another process of the server, under the same id.
+  restarted.Report(200, 1);
+  // Longer than the interval at which the node reads the directory.
+  restarted.loop.RunFor(milliseconds(2500), restarted.node.store);
+  CHECK(restarted.StatusOfCall() == 200);
+  CHECK_FALSE(restarted.StoredRow().leaving);
+}
+
+// As above; the late report overtakes the first read of the directory, and
+// other nodes still send calls to the server.
+TEST_CASE("a report has no effect before the node knows its own row") {
+  RestartedNode restarted(OwnRow(true));
+  restarted.node.store.unavailable = true;
+  restarted.node.control->Start();
+  restarted.Report(100, 9);
+  auto active = *DecodeDirectoryEntry("n", OwnRow(false));
+  active.leaving = false;
+  active.address = restarted.mesh.settings["n"].inbound_address;
+  restarted.mesh.directory[active.node] = active;
+  restarted.mesh.Publish({TestMesh::MakeRoute("back", false)});
+  CHECK(restarted.StatusOfCall() == 503);
+  CHECK(restarted.backend.runs == 0);
+  restarted.node.store.unavailable = false;
+  restarted.loop.RunFor(milliseconds(400), restarted.node.store);
+  CHECK(restarted.StatusOfCall() == 503);
+  CHECK(restarted.backend.runs == 0);
+  CHECK(restarted.StoredRow().departed);
+}
+
+// Guards against a server that is shut out after a gap in its reports.
+TEST_CASE("a restarted node takes up a server that had stopped reporting") {
+  RestartedNode restarted(OwnRow(false));
+  restarted.node.control->Start();
+  restarted.Report(100, 9);
+  CHECK(restarted.StatusOfCall() == 200);
+  CHECK_FALSE(restarted.StoredRow().leaving);
+}
+
+TEST_CASE("the departure of a server that never reported is published") {
+  RestartedNode restarted(OwnRow(false));
+  restarted.node.control->Start();
+  restarted.Run();
+  restarted.node.control->OnDeparture(InstanceId("i"), 300, [] {});
+  restarted.Run();
+  CHECK(restarted.StoredRow().departed);
+  CHECK(restarted.StoredRow().started_at_ms == 300);
+  restarted.Report(300, 1);
+  CHECK(restarted.StatusOfCall() == 503);
+  CHECK(restarted.backend.runs == 0);
+}
+
 TEST_CASE(
     "a follower reads the table again when the store has lost its history") {
   FollowerFixture table;
--- a/src/libmesh/registrar.cc
+++ b/src/libmesh/registrar.cc
@@ -19,7 +19,7 @@
       {"address", entry.address.Value()}, {"zone", entry.zone.Value()},
       {"service", entry.service.Value()}, {"instance", entry.instance.Value()},
       {"slots", entry.slots.Value()},     {"started", entry.started_at_ms},
-      {"leaving", entry.leaving}}
+      {"leaving", entry.leaving},         {"departed", entry.departed}}
       .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -36,6 +36,8 @@
     entry.slots = Slots(std::max(1, row.at("slots").get<int>()));
     entry.started_at_ms = row.at("started").get<std::int64_t>();
     entry.leaving = row.at("leaving").get<bool>();
+    // Rows of earlier releases lack the field.
+    entry.departed = row.value("departed", false);
     if (!IsName(entry.service.Value()) || !IsName(entry.instance.Value())) {
       return Fail("decode directory row " + key,
                   "service or instance is not a valid name");
