Confirm a departure only when the store has it

Cause: the confirmation waited for the gate, not for the row from which a restarted node learns of the departure. During an outage of the store the promise was in the memory of one process only.

Change: the gate refuses at once as before; a report of a leaving server and a deregistration are confirmed when the store has acknowledged the row, and get 503 after 0.9 s, which is logged. A waiting confirmation starts a write at once instead of at the next retry.

Test: "a departure is confirmed only when the store has it"; with the confirmation given at once it fails (confirmed while the row is active).

--- a/src/include/cassiakeel/mesh/control.h
+++ b/src/include/cassiakeel/mesh/control.h
@@ -30,6 +30,10 @@
     std::function<Result<std::shared_ptr<const TrafficPolicy>>(
         const std::string& value)>;
 
+/// Tells a backend server whether what it said is in effect. May run on another
+/// thread than the control thread.
+using ConfirmHandler = std::function<void(bool in_effect)>;
+
 /// Control plane of a node: follows the policy and the directory in the shared
 /// store, tracks the backend server of this machine, and passes immutable
 /// snapshots to the traffic thread. Runs on the control thread.
@@ -49,15 +53,16 @@
   ~MeshControl();
 
   void Start();
-  /// Processes a report of the backend server. `applied` runs once the report
-  /// is in effect, that is, a leaving server gets no new work any more; it may
-  /// run on another thread.
-  void OnReport(const BackendReport& report, std::function<void()> applied);
+  /// Processes a report of the backend server. `confirm` runs once the report
+  /// is in effect. For a leaving server that means that it gets no new work any
+  /// more, also after a restart of this node: its departure is in the store.
+  /// `confirm` gets false if the store did not take it in time.
+  void OnReport(const BackendReport& report, ConfirmHandler confirm);
   /// Processes a deregistration of the backend server, see
-  /// BackendWatch::OnDeparture; `applied` as for `OnReport`.
+  /// BackendWatch::OnDeparture; `confirm` as for a report of a leaving server.
   void OnDeparture(const InstanceId& instance,
                    std::int64_t started_at_ms,
-                   std::function<void()> applied);
+                   ConfirmHandler confirm);
 
  private:
   class Impl;
--- a/src/include/cassiakeel/mesh/registrar.h
+++ b/src/include/cassiakeel/mesh/registrar.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,12 +36,20 @@
   void Publish(std::optional<DirectoryEntry> desired);
   /// Processes the current rows of the directory table.
   void OnRows(const RowMap& rows);
+  /// Calls `handler` with true once the store has acknowledged the row to
+  /// publish, at once if there is none, or with false if that takes longer than
+  /// a backend server waits for a confirmation.
+  void WhenStored(std::function<void(bool stored)> handler);
 
  private:
   Registrar() = default;
+  bool IsStored() const;
   void Reconcile();
+  void Write();
   void OnWritten(const WriteReply& reply);
   void ScheduleRetry();
+  void NotifyWaiters();
+  void GiveUpWaiter(std::uint64_t id);
 
   SharedStore* store = nullptr;
   std::shared_ptr<h1::TimerQueue> timers;
@@ -52,6 +63,8 @@
   bool writing = false;
   bool retry_pending = false;
   int failures = 0;
+  std::map<std::uint64_t, std::function<void(bool stored)>> waiters;
+  std::uint64_t next_waiter_id = 1;
 };
 
 }  // namespace cassiakeel::mesh
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -34,7 +34,8 @@
        const Clock& clock,
        MeshNode& node,
        PolicyDecoder decode_policy)
-      : mesh(mesh),
+      : io_context(io_context),
+        mesh(mesh),
         settings(settings),
         node(node),
         decode_policy(std::move(decode_policy)),
@@ -53,7 +54,7 @@
         store, timers, settings.directory_table, kDirectoryPollInterval,
         [this](const RowMap& rows) { this->OnDirectoryRows(rows); },
         this->ConnectionLogger(settings.directory_table));
-    node.SetPeerHandlers(this->MakePeerHandlers(io_context));
+    node.SetPeerHandlers(this->MakePeerHandlers());
   }
 
   void Start() {
@@ -61,34 +62,56 @@
     this->directory_rows->Start();
   }
 
-  void OnReport(const BackendReport& report, std::function<void()> applied) {
-    this->pending_confirm = std::move(applied);
+  void OnReport(const BackendReport& report, ConfirmHandler confirm) {
+    this->pending_confirm =
+        report.leaving ? this->ConfirmWhenStored(std::move(confirm))
+                       : [confirm = std::move(confirm)] { confirm(true); };
     this->watch->OnReport(report);
     this->ConfirmUnchanged();
   }
 
   void OnDeparture(const InstanceId& instance,
                    std::int64_t started_at_ms,
-                   std::function<void()> applied) {
-    this->pending_confirm = std::move(applied);
+                   ConfirmHandler confirm) {
+    this->pending_confirm = this->ConfirmWhenStored(std::move(confirm));
     this->watch->OnDeparture(instance, started_at_ms);
     this->ConfirmUnchanged();
   }
 
  private:
   // The handlers run on the traffic thread and post to the control thread.
-  PeerHandlers MakePeerHandlers(asio::io_context& io_context) {
-    return {
-        [this, &io_context](const StateVersions& peer) {
-          asio::post(io_context, [this, peer] { this->OnPeerVersions(peer); });
-        },
-        [this, &io_context](const PeerAddress& address) {
-          asio::post(io_context,
-                     [this, address] { this->OnStateRequest(address); });
-        },
-        [this, &io_context](const std::string& state) {
-          asio::post(io_context, [this, state] { this->OnPeerState(state); });
-        }};
+  PeerHandlers MakePeerHandlers() {
+    return {[this](const StateVersions& peer) {
+              asio::post(this->io_context,
+                         [this, peer] { this->OnPeerVersions(peer); });
+            },
+            [this](const PeerAddress& address) {
+              asio::post(this->io_context,
+                         [this, address] { this->OnStateRequest(address); });
+            },
+            [this](const std::string& state) {
+              asio::post(this->io_context,
+                         [this, state] { this->OnPeerState(state); });
+            }};
+  }
+
+  // Confirms a departure that the gate applies only when it is stored as well,
+  // because a restarted node knows no other.
+  std::function<void()> ConfirmWhenStored(ConfirmHandler confirm) {
+    return [this, confirm = std::move(confirm)] {
+      asio::post(this->io_context, [this, confirm] {
+        this->registrar->WhenStored([this, confirm](bool stored) {
+          if (!stored) {
+            this->log.Write(
+                "departure_not_stored",
+                pvt::JsonString(
+                    "instance",
+                    this->watch->current().report.instance.Value()));
+          }
+          confirm(stored);
+        });
+      });
+    };
   }
 
   void OnPeerVersions(const StateVersions& peer) {
@@ -204,8 +227,10 @@
   }
 
   void OnDirectoryRows(const RowMap& rows) {
-    this->registrar->OnRows(rows);
+    // First, so that a departure that was held back is published before its
+    // confirmation.
     this->ApplyDirectory(rows, "store");
+    this->registrar->OnRows(rows);
   }
 
   void ApplyDirectory(const RowMap& rows, std::string_view source) {
@@ -264,6 +289,7 @@
     this->watch->Restore(report);
   }
 
+  asio::io_context& io_context;
   MeshSettings mesh;
   ControlSettings settings;
   MeshNode& node;
@@ -308,14 +334,14 @@
 }
 
 void MeshControl::OnReport(const BackendReport& report,
-                           std::function<void()> applied) {
-  this->impl->OnReport(report, std::move(applied));
+                           ConfirmHandler confirm) {
+  this->impl->OnReport(report, std::move(confirm));
 }
 
 void MeshControl::OnDeparture(const InstanceId& instance,
                               std::int64_t started_at_ms,
-                              std::function<void()> applied) {
-  this->impl->OnDeparture(instance, started_at_ms, std::move(applied));
+                              ConfirmHandler confirm) {
+  this->impl->OnDeparture(instance, started_at_ms, std::move(confirm));
 }
 
 }  // namespace cassiakeel::mesh
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -95,7 +95,7 @@
   }
   void Report(std::int64_t started_at_ms, std::uint64_t sequence) {
     this->node.control->OnReport(
-        ReportOf(this->backend, started_at_ms, sequence), [] {});
+        ReportOf(this->backend, started_at_ms, sequence), [](bool) {});
   }
   void Run() { this->loop.RunFor(milliseconds(60), this->node.store); }
   int StatusOfCall() {
@@ -272,7 +272,7 @@
   RestartedNode restarted(OwnRow(false));
   restarted.node.control->Start();
   restarted.Run();
-  restarted.node.control->OnDeparture(InstanceId("i"), 300, [] {});
+  restarted.node.control->OnDeparture(InstanceId("i"), 300, [](bool) {});
   restarted.Run();
   CHECK(restarted.StoredRow().departed);
   CHECK(restarted.StoredRow().started_at_ms == 300);
@@ -281,6 +281,45 @@
   CHECK(restarted.backend.runs == 0);
 }
 
+// Guards against a server that left and is used again after a restart, because
+// its departure was confirmed during an outage of the store, when the row still
+// says that it is active.
+TEST_CASE("a departure is confirmed only when the store has it") {
+  RestartedNode restarted(OwnRow(false));
+  auto& store = restarted.node.store;
+  auto& control = *restarted.node.control;
+  control.Start();
+  restarted.Report(100, 9);
+  CHECK(restarted.StatusOfCall() == 200);
+  // Neither the write nor its reply gets through.
+  store.lost_replies_left = 100;
+  std::vector<bool> confirmations;
+  const auto confirm = [&confirmations](bool in_effect) {
+    confirmations.push_back(in_effect);
+  };
+  SECTION("by deregistration") {
+    control.OnDeparture(InstanceId("i"), 100, confirm);
+  }
+  SECTION("by a report") {
+    auto report = ReportOf(restarted.backend, 100, 10);
+    report.leaving = true;
+    control.OnReport(report, confirm);
+  }
+  // The server gets no new work from now on, whatever the store does.
+  const int runs = restarted.backend.runs;
+  CHECK(restarted.StatusOfCall() == 503);
+  CHECK(confirmations.empty());
+  restarted.loop.RunFor(milliseconds(1000), store);
+  CHECK(confirmations == std::vector<bool>{false});
+  // The server repeats what it said once the store works again.
+  store.lost_replies_left = 0;
+  control.OnDeparture(InstanceId("i"), 100, confirm);
+  restarted.Run();
+  CHECK(confirmations == std::vector<bool>{false, true});
+  CHECK(restarted.StoredRow().departed);
+  CHECK(restarted.backend.runs == runs);
+}
+
 TEST_CASE(
     "a follower reads the table again when the store has lost its history") {
   FollowerFixture table;
--- a/src/libmesh/registrar.cc
+++ b/src/libmesh/registrar.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace cassiakeel::mesh {
 namespace {
@@ -11,6 +12,8 @@
 
 constexpr milliseconds kFirstRetryDelay{150};
 constexpr milliseconds kMaxRetryDelay{1500};
+// A backend server takes a confirmation that arrives within a second.
+constexpr milliseconds kMaxStoreWait{900};
 
 }  // namespace
 
@@ -93,11 +96,58 @@
   this->Reconcile();
 }
 
+void Registrar::WhenStored(std::function<void(bool stored)> handler) {
+  if (this->IsStored()) {
+    handler(true);
+    return;
+  }
+  const auto id = this->next_waiter_id++;
+  this->waiters.emplace(id, std::move(handler));
+  this->timers->Add(this->timers->Now() + kMaxStoreWait,
+                    [registrar = this->weak_from_this(), id] {
+                      if (const auto self = registrar.lock()) {
+                        self->GiveUpWaiter(id);
+                      }
+                    });
+  // Somebody waits for this write, so it does not wait for the next retry.
+  if (this->retry_pending && !this->writing) {
+    this->Write();
+  }
+}
+
+bool Registrar::IsStored() const {
+  return this->stored_known && !this->writing &&
+         (!this->has_desired || this->desired == this->stored_value);
+}
+
+void Registrar::NotifyWaiters() {
+  for (const auto& [id, handler] : std::exchange(this->waiters, {})) {
+    handler(true);
+  }
+}
+
+void Registrar::GiveUpWaiter(std::uint64_t id) {
+  const auto found = this->waiters.find(id);
+  if (found == this->waiters.end()) {
+    return;
+  }
+  const auto handler = std::move(found->second);
+  this->waiters.erase(found);
+  handler(false);
+}
+
 void Registrar::Reconcile() {
-  if (!this->has_desired || !this->stored_known || this->writing ||
-      this->retry_pending || this->desired == this->stored_value) {
+  if (this->IsStored()) {
+    this->NotifyWaiters();
     return;
   }
+  if (this->has_desired && this->stored_known && !this->writing &&
+      !this->retry_pending) {
+    this->Write();
+  }
+}
+
+void Registrar::Write() {
   this->writing = true;
   this->store->Write(this->table, this->node.Value(), this->desired,
                      this->stored_version,
@@ -132,7 +182,9 @@
 }
 
 void Registrar::ScheduleRetry() {
-  this->retry_pending = true;
+  if (std::exchange(this->retry_pending, true)) {
+    return;
+  }
   const auto wait = std::min(
       kMaxRetryDelay, kFirstRetryDelay * (1 << std::min(this->failures++, 4)));
   this->timers->Add(this->timers->Now() + wait,
