--- a/src/include/cassiakeel/mesh/backend_watch.h
+++ b/src/include/cassiakeel/mesh/backend_watch.h
@@ -24,7 +24,8 @@
       std::chrono::milliseconds report_timeout,
       ChangeHandler on_change);
 
-  /// Processes a report. A report older than the latest one is ignored.
+  /// Processes a report. A report older than the latest one is ignored, except
+  /// that the server is leaving.
   void OnReport(const BackendReport& report);
   /// Restores the state that this node published before it restarted, unless
   /// the server has already sent a report.
--- a/src/libmesh/backend_watch.cc
+++ b/src/libmesh/backend_watch.cc
@@ -38,6 +38,11 @@
 
 void BackendWatch::OnReport(const BackendReport& report) {
   if (!this->IsNewer(report)) {
+    // A server does not become active again, so that this holds even if later
+    // reports have arrived before.
+    if (report.leaving) {
+      this->RestoreDeparture(report.instance, report.started_at_ms);
+    }
     return;
   }
   auto next = report;
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -169,6 +169,23 @@
   CHECK(changes == 2);
 }
 
+// Guards against a departure that is confirmed and has no effect, because the
+// report of another writer with a higher sequence number was taken before.
+TEST_CASE("a server is leaving although a report has a lower sequence") {
+  ControlLoop loop;
+  const auto watch = BackendWatch::Create(
+      loop.timers, loop.clock, milliseconds(5000), [](const LocalBackend&) {});
+  watch->OnReport(MakeReport("a", 100, 1000));
+  auto leaving = MakeReport("a", 100, 8);
+  leaving.leaving = true;
+  watch->OnReport(leaving);
+  CHECK(watch->current().report.leaving);
+  // The departure of a previous process says nothing about this one.
+  watch->OnReport(MakeReport("b", 200, 1));
+  watch->OnReport(leaving);
+  CHECK_FALSE(watch->current().report.leaving);
+}
+
 TEST_CASE("a deregistered server stays leaving despite later reports") {
   ControlLoop loop;
   const auto watch = BackendWatch::Create(
