Refuse requests that may outlast a stopping node

Callers saw: 504 for a request that a stopping node had taken 3.0 to 3.5 s after SIGTERM and passed on, while its server was at work on it.

Cause: such a request was taken if its target latency fitted into the rest of the grace time, and its deadline was moved to the end of the node. Evidence: the new test gets 504 with work of 2.5 s, and 503 for one with a time limit of 0.3 s that would have ended in time.

Change: late requests are taken only if their own time limit ends before the node does; no deadline is shortened.

Test: "a stopping node takes only requests that end before it does" (504 instead of 503 before, now 503).

--- a/src/libmesh/dispatched_call.cc
+++ b/src/libmesh/dispatched_call.cc
@@ -15,6 +15,9 @@
 // Minimum delay before a retry of a request that was shed at entry; lets a
 // short peak in demand pass.
 constexpr milliseconds kEntryRetryAfter{300};
+// Delay before a retry of a request that a stopping node refused; another node
+// takes it at once.
+constexpr milliseconds kStoppingRetryAfter{200};
 // Timeout of requests without the timeout header field.
 constexpr milliseconds kDefaultTimeout{15000};
 // At the deadline, a response from another node may still be in transit.
@@ -35,8 +38,7 @@
                        std::shared_ptr<h1::Exchange> exchange,
                        std::shared_ptr<const TrafficPolicy> policy,
                        const Route& route,
-                       std::optional<milliseconds> caller_timeout,
-                       std::optional<SteadyTime> latest_end)
+                       std::optional<milliseconds> caller_timeout)
     : owner(owner),
       exchange(std::move(exchange)),
       policy(std::move(policy)),
@@ -50,9 +52,6 @@
   if (route.timeout.count() > 0) {
     this->deadline = std::min(this->deadline, this->received + route.timeout);
   }
-  if (latest_end) {
-    this->deadline = std::min(this->deadline, *latest_end);
-  }
   auto& headers = this->exchange->request().headers;
   if (const auto* id =
           h1::FindHeader(headers, owner.settings.fields.attempt_id)) {
@@ -61,7 +60,7 @@
   RemoveHopByHopFields(headers, owner.settings.fields);
 }
 
-void Dispatcher::Call::Run() {
+void Dispatcher::Call::Run(std::optional<SteadyTime> latest_end) {
   this->parent =
       this->owner.gate.FindParent(this->attempt_id, this->caller_deadline);
   this->priority = this->parent ? this->parent->priority : route.priority;
@@ -74,6 +73,11 @@
     this->FinishWithError(Reason::kDeadline);
     return;
   }
+  if (latest_end && this->deadline > *latest_end) {
+    this->retry_after = kStoppingRetryAfter;
+    this->FinishWithError(Reason::kLeaving);
+    return;
+  }
   if (!this->parent && this->ShedAtEntry()) {
     return;
   }
--- a/src/libmesh/dispatched_call.h
+++ b/src/libmesh/dispatched_call.h
@@ -16,9 +16,9 @@
        std::shared_ptr<h1::Exchange> exchange,
        std::shared_ptr<const TrafficPolicy> policy,
        const Route& route,
-       std::optional<std::chrono::milliseconds> caller_timeout,
-       std::optional<SteadyTime> latest_end);
-  void Run();
+       std::optional<std::chrono::milliseconds> caller_timeout);
+  // With `latest_end`, refuses the request if its time limit ends later.
+  void Run(std::optional<SteadyTime> latest_end);
 
  private:
   // Refuses a client's request that is unlikely to finish, before any work is
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -97,17 +97,11 @@
     this->Reject(*exchange, {404, {}, {}}, Reason::kUnknownKind);
     return;
   }
-  if (latest_end &&
-      exchange->received() + route->target_latency > *latest_end) {
-    this->Reject(*exchange, {503, {{"Retry-After", "0.2"}}, {}},
-                 Reason::kLeaving);
-    return;
-  }
   const auto caller_timeout = ParseMilliseconds(
       h1::FindHeader(request.headers, this->settings.fields.timeout_ms));
   std::make_shared<Call>(*this, std::move(exchange), this->policy, *route,
-                         caller_timeout, latest_end)
-      ->Run();
+                         caller_timeout)
+      ->Run(latest_end);
 }
 
 void Dispatcher::SendState(const PeerAddress& address, std::string state) {
--- a/src/libmesh/dispatcher.h
+++ b/src/libmesh/dispatcher.h
@@ -48,8 +48,8 @@
   /// does not receive it asks again.
   void SendState(const PeerAddress& address, std::string state);
   /// Handles a request of a client or of this machine's backend server. With
-  /// `latest_end`, the request is refused if its target latency extends beyond
-  /// that time; otherwise its deadline is at most `latest_end`.
+  /// `latest_end`, the end of this node, the request is refused if it may take
+  /// longer, that is, if its time limit ends later.
   void Handle(std::shared_ptr<h1::Exchange> exchange,
               std::optional<SteadyTime> latest_end = std::nullopt);
 
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -32,10 +32,11 @@
 // anyway. Later calls are refused, so that the last accepted ones have time to
 // finish.
 constexpr milliseconds kAcceptCallsWhileStopping{1700};
-// Requests that arrive later than this after the request to stop get a deadline
-// before the end of the node, so that none is interrupted.
-constexpr milliseconds kFullTimeoutWhileStopping{2800};
-// Time between the deadline of such a request and the end of the node.
+// Requests that arrive later than this after the request to stop are accepted
+// only if their time limit ends before the node does, so that none is
+// interrupted. Clients are told to go elsewhere before.
+constexpr milliseconds kAcceptAllWhileStopping{2800};
+// Time between the time limit of such a request and the end of the node.
 constexpr milliseconds kResponseReserve{250};
 // Delay before peers are asked for state; several times the duration of a read
 // from the store.
@@ -235,7 +236,7 @@
   // Handles a request that originates on this machine.
   void Dispatch(std::shared_ptr<h1::Exchange> exchange) {
     std::optional<SteadyTime> latest_end;
-    if (this->HasBeenStoppingFor(kFullTimeoutWhileStopping)) {
+    if (this->HasBeenStoppingFor(kAcceptAllWhileStopping)) {
       latest_end = this->stop_started + this->settings.shutdown_grace -
                    kExitReserve - kResponseReserve;
     }
--- a/src/libmesh/traffic_test.cc
+++ b/src/libmesh/traffic_test.cc
@@ -312,6 +312,39 @@
   node.Join();
 }
 
+// Guards against a request that is sent to a server late in a planned stop and
+// broken off at its end, although it may not be repeated.
+TEST_CASE("a stopping node takes only requests that end before it does") {
+  constexpr milliseconds kWork{2500};
+  FakeBackend backend([kWork](const std::shared_ptr<h1::Exchange>& exchange) {
+    std::this_thread::sleep_for(kWork);
+    RespondOk(exchange);
+  });
+  TestMesh mesh;
+  auto& node = mesh.AddNode("a", "front", milliseconds(6000));
+  mesh.AddNode("b", "back");
+  mesh.SetBackend("b", backend);
+  mesh.Publish({TestMesh::MakeRoute("back", false)});
+  REQUIRE(mesh.Call("a", "/none/1", "ready").response.status == 404);
+  node.RequestStop();
+  std::this_thread::sleep_for(milliseconds(1500));
+  // Keeps the node busy, so that it does not end before the late requests.
+  int status_of_early = 0;
+  std::thread early([&mesh, &status_of_early] {
+    status_of_early = mesh.Call("a", "/back/1", "early", 5000).response.status;
+  });
+  std::this_thread::sleep_for(milliseconds(1700));
+  const auto late = mesh.Call("a", "/back/1", "late", 5000);
+  CHECK(late.response.status == 503);
+  CHECK(h1::FindHeader(late.response.headers, "Retry-After") != nullptr);
+  // Its own time limit ends before the node does.
+  CHECK(mesh.Call("a", "/back/1", "short", 300).response.status == 504);
+  early.join();
+  CHECK(status_of_early == 200);
+  node.Join();
+  CHECK(backend.runs <= 2);
+}
+
 // Guards against work that runs after its caller has stopped waiting, because a
 // process was paused between the arrival of the request and reading it.
 TEST_CASE("a paused node does not run requests whose time limit has passed") {
