Skip directory rows with numbers or addresses out of range

Operators of similar systems reported: one odd entry among those of the endpoints, deeply nested, with a number too large or with a port out of range, and the processes that read the list ended again and again or stopped following it. Shown here: no process ends and the list is followed, but rows with numbers or ports out of range were used. A port out of range was an endpoint to which no connection can be opened, and a number such as 1e300 was converted to int, which is undefined.

Cause: DecodeDirectoryEntry checked types and two names only.

Change: numbers, names and the address are checked; such a row is skipped like one that can't be parsed.

Rows in three older tests get an address and a zone, so that they still reach the checks that these tests are about.

--- a/src/include/cassiakeel/h1/client.h
+++ b/src/include/cassiakeel/h1/client.h
@@ -14,6 +14,10 @@
 
 namespace cassiakeel::h1 {
 
+/// True if a client can connect to `peer`: "IP:port" with a port from 1 to
+/// 65535.
+bool IsPeerAddress(const PeerAddress& peer);
+
 /// How a fetch ended.
 enum class FetchEnd {
   kComplete,
--- a/src/libh1/client.cc
+++ b/src/libh1/client.cc
@@ -3,9 +3,15 @@
 #include <utility>
 
 #include "client_connection.h"
+#include "socket_io.h"
 
 namespace cassiakeel::h1 {
 
+bool IsPeerAddress(const PeerAddress& peer) {
+  const auto endpoint = pvt::ParseEndpoint(peer);
+  return endpoint && endpoint->port() != 0;
+}
+
 class Client::Impl {
  public:
   Impl(asio::io_context& io_context,
--- a/src/libmesh/malformed_input_test.cc
+++ b/src/libmesh/malformed_input_test.cc
@@ -136,6 +136,8 @@
 TEST_CASE("text that is not UTF-8 can be published and handed over") {
   DirectoryEntry entry;
   entry.node = NodeId("n");
+  entry.address = PeerAddress("127.0.0.1:80");
+  entry.zone = ZoneName("z");
   entry.service = ServiceName("s");
   entry.instance = InstanceId("i-\xff\xfe");
   CHECK_FALSE(EncodeDirectoryEntry(entry).empty());
@@ -147,11 +149,65 @@
   CHECK(DecodeDirectory(state->directory).size() == 1);
 }
 
+// Guards against a row of another writer that ends the processes that read the
+// directory, or keeps them from following it.
+TEST_CASE("an odd directory row is skipped and the others are used") {
+  const auto row = [](const char* field, const std::string& value) {
+    auto entry = nlohmann::json::parse(
+        R"({"address":"127.0.0.1:80","zone":"z","service":"back",
+        "instance":"i","slots":4,"started":100,"leaving":false})");
+    entry[field] = nlohmann::json::parse(value);
+    return entry.dump();
+  };
+  constexpr std::size_t kDepth = 30000;
+  const std::vector<std::string> odd_rows = {
+      std::string(kDepth, '['),
+      std::string(kDepth, '[') + std::string(kDepth, ']'),
+      R"({"slots":)" + std::string(kDepth, '[') + std::string(kDepth, ']') +
+          "}",
+      R"({"slots":1e999})",
+      row("slots", "1e300"),
+      row("slots", "18446744073709551615"),
+      row("slots", "-4"),
+      row("slots", "0.5"),
+      row("started", "1e300"),
+      row("started", "-1"),
+      row("started", "18446744073709551615"),
+      row("address", "\"127.0.0.1:65536\""),
+      row("address", "\"127.0.0.1:99999999999999999999\""),
+      row("address", "\"127.0.0.1:-1\""),
+      row("address", "\"127.0.0.1:0\""),
+      row("address", "\"127.0.0.1\""),
+      row("address", "\"localhost:80\""),
+      row("zone", "\"z\\r\\nX: y\""),
+      row("departed", "7"),
+      "null",
+      "[]",
+      "",
+  };
+  RowMap rows;
+  rows["good"] = {"good", row("slots", "4"), 1, false};
+  for (std::size_t i = 0; i < odd_rows.size(); ++i) {
+    INFO(i << ": " << odd_rows[i].substr(0, 120));
+    const auto key = "odd-" + std::to_string(i);
+    CHECK_FALSE(DecodeDirectoryEntry(key, odd_rows[i]));
+    rows[key] = {key, odd_rows[i], 2 + i, false};
+  }
+  CHECK(DecodeDirectory(rows).size() == 1);
+  const auto state = pvt::DecodePeerState(pvt::EncodePeerState({{}, rows}));
+  REQUIRE(state);
+  CHECK(DecodeDirectory(state->directory).size() == 1);
+}
+
 TEST_CASE("a row with a service that would break a header field is skipped") {
   DirectoryEntry entry;
   entry.node = NodeId("n");
-  entry.service = ServiceName("s\r\nX: y");
+  entry.address = PeerAddress("127.0.0.1:80");
+  entry.zone = ZoneName("z");
+  entry.service = ServiceName("s");
   entry.instance = InstanceId("i");
+  REQUIRE(DecodeDirectoryEntry("n", EncodeDirectoryEntry(entry)));
+  entry.service = ServiceName("s\r\nX: y");
   CHECK_FALSE(DecodeDirectoryEntry("n", EncodeDirectoryEntry(entry)));
 }
 
--- a/src/libmesh/messages_test.cc
+++ b/src/libmesh/messages_test.cc
@@ -69,6 +69,8 @@
   result.load.limit = 9;
   DirectoryEntry known;
   known.node = NodeId("n");
+  known.address = PeerAddress("127.0.0.1:80");
+  known.zone = ZoneName("z");
   known.service = ServiceName("s");
   known.instance = InstanceId("i");
   const std::string row = EncodeDirectoryEntry(known);
--- a/src/libmesh/registrar.cc
+++ b/src/libmesh/registrar.cc
@@ -2,19 +2,40 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <utility>
 
+#include "cassiakeel/h1/client.h"
+
 namespace cassiakeel::mesh {
 namespace {
 
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+// Far more calls than one server runs at the same time.
+constexpr std::int64_t kMaxSlots = 1'000'000;
+// The year 5138, in ms since the Unix epoch.
+constexpr std::int64_t kMaxStartTimeMs = 100'000'000'000'000;
 constexpr milliseconds kFirstRetryDelay{150};
 constexpr milliseconds kMaxRetryDelay{1500};
 // A backend server takes a confirmation that arrives within a second.
 constexpr milliseconds kMaxStoreWait{900};
 
+std::int64_t WholeNumber(const json& row,
+                         const char* field,
+                         std::int64_t min,
+                         std::int64_t max) {
+  const auto& value = row.at(field);
+  const auto number = value.get<std::int64_t>();
+  // A number beyond 64 bits is not an integer here, and one beyond 63 bits
+  // becomes negative.
+  if (!value.is_number_integer() || number < min || number > max) {
+    throw std::out_of_range(std::string(field) + " is out of range");
+  }
+  return number;
+}
+
 }  // namespace
 
 std::string EncodeDirectoryEntry(const DirectoryEntry& entry) {
@@ -36,17 +57,23 @@
     entry.zone = ZoneName(row.at("zone").get<std::string>());
     entry.service = ServiceName(row.at("service").get<std::string>());
     entry.instance = InstanceId(row.at("instance").get<std::string>());
-    entry.slots = Slots(std::max(1, row.at("slots").get<int>()));
-    entry.started_at_ms = row.at("started").get<std::int64_t>();
+    entry.slots =
+        Slots(static_cast<int>(WholeNumber(row, "slots", 1, kMaxSlots)));
+    entry.started_at_ms = WholeNumber(row, "started", 0, kMaxStartTimeMs);
     entry.leaving = row.at("leaving").get<bool>();
     // Rows of earlier releases lack the field.
     entry.departed = row.value("departed", false);
-    if (!IsName(entry.service.Value()) || !IsName(entry.instance.Value())) {
+    if (!IsName(entry.service.Value()) || !IsName(entry.instance.Value()) ||
+        !IsName(entry.zone.Value())) {
+      return Fail("decode directory row " + key,
+                  "service, instance or zone is not a valid name");
+    }
+    if (!h1::IsPeerAddress(entry.address)) {
       return Fail("decode directory row " + key,
-                  "service or instance is not a valid name");
+                  "address is not an IP address and port");
     }
     return entry;
-  } catch (const json::exception& error) {
+  } catch (const std::exception& error) {
     return Fail("decode directory row " + key, error.what());
   }
 }
