Do not complete a response when its request could not be written

Cause: the pending write of the request takes the reset, and the read that follows sees an end of file, the proper end of such a response. OnEnd ignored write_error, which may also be set only after the read.

Change: at an end of file with the write pending, its result decides.

--- a/src/libh1/client_connection.cc
+++ b/src/libh1/client_connection.cc
@@ -153,17 +153,23 @@
   this->received_bytes = 0;
   this->writing = true;
   const auto self = this->shared_from_this();
-  WriteAll(this->socket, std::move(out), self, [self](asio::error_code ec) {
-    self->writing = false;
-    if (ec) {
-      self->write_error = ec;
-    }
-  });
+  WriteAll(this->socket, std::move(out), self,
+           [self](asio::error_code ec) { self->OnWritten(ec); });
   // The peer may send a response without reading the whole request, so a
   // write error is reported only if the following read gets no response.
   this->WaitForRead();
 }
 
+void ClientConnection::OnWritten(asio::error_code ec) {
+  this->writing = false;
+  if (ec) {
+    this->write_error = ec;
+  }
+  if (this->ended_while_writing && !this->closed) {
+    this->OnEnd(asio::error::eof);
+  }
+}
+
 void ClientConnection::WaitForRead() {
   if (this->waiting || this->closed) {
     return;
@@ -202,7 +208,14 @@
 }
 
 void ClientConnection::OnEnd(asio::error_code error) {
-  if (error == asio::error::eof &&
+  // A reset is reported once. A pending write may have taken it, so that the
+  // read sees an end of file; the response is complete only if the write ends
+  // without an error.
+  if (error == asio::error::eof && this->writing) {
+    this->ended_while_writing = true;
+    return;
+  }
+  if (error == asio::error::eof && !this->write_error &&
       this->parser.FeedEnd() == ParseState::kComplete &&
       !this->AnswersEarlierRequest()) {
     this->Deliver(false);
--- a/src/libh1/client_connection.h
+++ b/src/libh1/client_connection.h
@@ -69,6 +69,7 @@
   void Connect();
   void OnConnected(asio::error_code ec);
   void Send();
+  void OnWritten(asio::error_code ec);
   void WaitForRead();
   void OnReadable();
   void OnEnd(asio::error_code error);
@@ -106,6 +107,8 @@
   bool fresh = true;
   bool waiting = false;
   bool writing = false;
+  /// The peer has closed its side before the request was written.
+  bool ended_while_writing = false;
   bool closed = false;
 };
 
--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -101,6 +101,51 @@
         FetchEnd::kNoResponse);
 }
 
+// Guards against a cut response that is delivered as complete: the reset is
+// taken by the pending write of the request, and the read sees an end of file.
+TEST_CASE("a reset during a long request does not complete a response") {
+  TestLoop loop;
+  RawServer server([](tcp::socket& socket) {
+    ReadHead(socket);
+    Reply(socket, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf");
+    std::this_thread::sleep_for(milliseconds(100));
+    // Part of the request is unread, so that this resets the connection.
+    socket.close();
+  });
+  const auto client = Client::Create(loop.io_context, loop.timers, {});
+  for (int i = 0; i < 10; ++i) {
+    auto fetch = GetFrom(loop, server.address(), "1");
+    fetch.request.method = "POST";
+    fetch.request.body = std::string(16U << 20U, 'x');
+    fetch.deadline = loop.clock.Now() + milliseconds(2000);
+    CHECK(Run(loop, *client, std::move(fetch)).end == FetchEnd::kNoResponse);
+  }
+}
+
+// A server may answer early, close its side, and read the rest of the request.
+TEST_CASE("a response that ends before the request is written is complete") {
+  TestLoop loop;
+  RawServer server([](tcp::socket& socket) {
+    ReadHead(socket);
+    Reply(socket, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it");
+    asio::error_code error;
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    std::this_thread::sleep_for(milliseconds(100));
+    std::array<char, 65536> rest{};
+    while (!error) {
+      socket.read_some(asio::buffer(rest), error);
+    }
+  });
+  const auto client = Client::Create(loop.io_context, loop.timers, {});
+  auto fetch = GetFrom(loop, server.address(), "1");
+  fetch.request.method = "POST";
+  fetch.request.body = std::string(16U << 20U, 'x');
+  fetch.deadline = loop.clock.Now() + milliseconds(2000);
+  const auto result = Run(loop, *client, std::move(fetch));
+  CHECK(result.end == FetchEnd::kComplete);
+  CHECK(result.response.body == "all of it");
+}
+
 TEST_CASE("an invalid response is kNoResponse, a refused connection kNotSent") {
   TestLoop loop;
   RawServer server([](tcp::socket& socket) {
