Let a server read a long request late

Cause: TCP_USER_TIMEOUT, set to 1.5 s to find dead peers, also counts the time in which the window of a live peer is closed.

Change: for requests of more than 16 KiB, which may fill the receive buffer, it is the time until the deadline; others keep 1.5 s.

Test: "a server may read a long request late" got kNoResponse before, and the response now, and the connection is used again.

--- a/src/include/cassiakeel/h1/client.h
+++ b/src/include/cassiakeel/h1/client.h
@@ -67,8 +67,9 @@
   /// Idle connections are closed after this time.
   std::chrono::milliseconds idle_timeout{4000};
   /// A connection fails when sent bytes stay unacknowledged for this time
-  /// (TCP_USER_TIMEOUT); idle connections get a keep-alive probe after a third
-  /// of it.
+  /// (TCP_USER_TIMEOUT), or until the deadline of a request that may fill the
+  /// peer's receive buffer; idle connections get a keep-alive probe after a
+  /// third of it.
   std::chrono::milliseconds dead_peer_timeout{1500};
   /// Idle connections kept open per peer.
   std::size_t max_idle_per_peer = 64;
--- a/src/libh1/client_connection.cc
+++ b/src/libh1/client_connection.cc
@@ -1,5 +1,6 @@
 #include "client_connection.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <charconv>
 #include <optional>
@@ -22,6 +23,10 @@
 // earlier requests.
 constexpr std::size_t kMaxReceivedRatio = 2;
 
+// A request of this size fits into the receive buffer of a peer, whose kernel
+// acknowledges it even if the peer does not read.
+constexpr std::size_t kAlwaysAcknowledgedBytes = 16U << 10U;
+
 // Time for which the connection may be reused, from a response field such as
 // "Keep-Alive: timeout=5".
 std::optional<milliseconds> AnnouncedReuseTime(const HeaderList& headers) {
@@ -106,7 +111,8 @@
     this->FinishLater(FetchEnd::kNotSent, error.message());
     return;
   }
-  SetUpSocket(this->socket, this->client_state->options.dead_peer_timeout);
+  this->dead_peer_timeout = this->client_state->options.dead_peer_timeout;
+  SetUpSocket(this->socket, this->dead_peer_timeout);
   this->connect_timeout.Set(this->client_state->timers->Now() +
                                 this->client_state->options.connect_timeout,
                             [this] {
@@ -149,6 +155,7 @@
         .append("\r\n");
   }
   out.append("\r\n").append(request.body);
+  this->AllowSlowReader(out.size());
   this->ResetParser();
   this->received_bytes = 0;
   this->writing = true;
@@ -160,6 +167,21 @@
   this->WaitForRead();
 }
 
+void ClientConnection::AllowSlowReader(std::size_t request_bytes) {
+  const auto& options = this->client_state->options;
+  auto next_timeout = options.dead_peer_timeout;
+  if (request_bytes > kAlwaysAcknowledgedBytes) {
+    next_timeout =
+        std::max(next_timeout,
+                 std::chrono::ceil<milliseconds>(
+                     this->fetch.deadline - this->client_state->timers->Now()));
+  }
+  if (next_timeout != this->dead_peer_timeout) {
+    this->dead_peer_timeout = next_timeout;
+    SetDeadPeerTimeout(this->socket, next_timeout);
+  }
+}
+
 void ClientConnection::OnWritten(asio::error_code ec) {
   this->writing = false;
   if (ec) {
--- a/src/libh1/client_connection.h
+++ b/src/libh1/client_connection.h
@@ -69,6 +69,9 @@
   void Connect();
   void OnConnected(asio::error_code ec);
   void Send();
+  // A long request may fill the receive buffer of a peer that does not read it
+  // at once. The peer is then given until the deadline.
+  void AllowSlowReader(std::size_t request_bytes);
   void OnWritten(asio::error_code ec);
   void WaitForRead();
   void OnReadable();
@@ -100,6 +103,7 @@
   FetchHandler handler;
   Timer timeout;
   Timer connect_timeout;
+  std::chrono::milliseconds dead_peer_timeout{0};
   SteadyTime idle_since;
   SteadyTime keep_until;
   asio::error_code write_error;
--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -122,6 +122,41 @@
   }
 }
 
+// Guards against a request that is broken off while a server works on it,
+// because the server pauses before it reads a long body.
+TEST_CASE("a server may read a long request late") {
+  TestLoop loop;
+  RawServer server([](tcp::socket& socket) {
+    for (const bool is_long : {true, false}) {
+      const auto head = ReadHead(socket);
+      asio::error_code error;
+      if (is_long) {
+        std::this_thread::sleep_for(milliseconds(1500));
+        std::size_t left =
+            (8U << 20U) - (head.size() - head.find("\r\n\r\n") - 4);
+        std::array<char, 65536> part{};
+        while (!error && left > 0) {
+          left -= socket.read_some(asio::buffer(part), error);
+        }
+      }
+      const std::string id(1, head[head.find("Id: ") + 4]);
+      Reply(socket,
+            "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 1\r\n\r\nA");
+    }
+  });
+  ClientOptions options;
+  options.dead_peer_timeout = milliseconds(300);
+  const auto client = Client::Create(loop.io_context, loop.timers, options);
+  auto fetch = GetFrom(loop, server.address(), "1");
+  fetch.request.method = "POST";
+  fetch.request.body = std::string(8U << 20U, 'x');
+  fetch.deadline = loop.clock.Now() + milliseconds(2900);
+  CHECK(Run(loop, *client, std::move(fetch)).end == FetchEnd::kComplete);
+  CHECK(Run(loop, *client, GetFrom(loop, server.address(), "2")).end ==
+        FetchEnd::kComplete);
+  CHECK(client->connections_opened() == 1);
+}
+
 // A server may answer early, close its side, and read the rest of the request.
 TEST_CASE("a response that ends before the request is written is complete") {
   TestLoop loop;
--- a/src/libh1/socket_io.cc
+++ b/src/libh1/socket_io.cc
@@ -52,8 +52,13 @@
   SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, probe_s);
   SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, probe_s);
   SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, 2);
-  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(dead_peer_timeout.count()));
+  SetDeadPeerTimeout(socket, dead_peer_timeout);
+}
+
+void SetDeadPeerTimeout(asio::ip::tcp::socket& socket,
+                        std::chrono::milliseconds timeout) {
+  SetOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(timeout.count()));
 }
 
 void WriteAll(asio::ip::tcp::socket& socket,
--- a/src/libh1/socket_io.h
+++ b/src/libh1/socket_io.h
@@ -32,6 +32,12 @@
 void SetUpSocket(asio::ip::tcp::socket& socket,
                  std::chrono::milliseconds dead_peer_timeout);
 
+/// Sets the time for which sent bytes may stay unacknowledged
+/// (TCP_USER_TIMEOUT). The kernel also counts the time in which the peer's
+/// window is closed.
+void SetDeadPeerTimeout(asio::ip::tcp::socket& socket,
+                        std::chrono::milliseconds timeout);
+
 /// Writes all `bytes` and calls `done` with the result. If the socket buffer
 /// has room for them, which is the usual case, `done` is called before this
 /// returns. Holds `owner` until `done` was called.
