--- a/testsuite/harness/faulty_messages.py
+++ b/testsuite/harness/faulty_messages.py
@@ -6,7 +6,9 @@
 
 import argparse
 import asyncio
+import fcntl
 import json
+import os
 import random
 import sys
 import tempfile
@@ -28,6 +30,9 @@
 ENDLESS_PEER_S = 3
 # Time in which a node reads a change of the directory.
 DIRECTORY_DELAY_S = 4
+# Smallest size of a pipe, and more requests with a log line each than it holds.
+SMALL_PIPE_BYTES = 4096
+UNREAD_LOG_LINES = 60
 # Nesting of a JSON value that would exhaust the stack of a recursive parser; the
 # row still fits into the store.
 NESTING = 30000
@@ -181,19 +186,33 @@
         writer.transport.abort()
 
 
-async def start_node(soak, node):
+async def start_node(soak, node, output=None):
     await node.backend.server.start()
     await node.proxy.start()
     await node.store_proxy.start()
-    node.start()
+    node.start(output)
     soak.spawn(soak.send_reports(node))
 
 
-async def check_odd_directory_rows(soak, node, joining_node):
+async def check_unread_log(soak, node, log_reader):
+    """Causes more log lines than the unread pipe of the node's log holds, then ends
+    the reader."""
+    for count in range(UNREAD_LOG_LINES):
+        message = f"GET /none/{count} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
+        response, _ = await send_request(node.outbound, message, 2)
+        expect(response and response[0] == 404,
+               f"request {count} of a node with an unread log got {response}")
+    await expect_served(soak, node, "unread-log")
+    os.close(log_reader)
+    await send_request(node.outbound, message, 2)
+    await expect_served(soak, node, "closed-log")
+
+
+async def check_odd_directory_rows(soak, node, joining_node, log_writer):
     """Puts odd rows beside those of the nodes, then lets another node join."""
     for number, row in enumerate(ODD_ROWS):
         await soak.store.put(TABLES[1], f"odd-{number}", row)
-    await start_node(soak, joining_node)
+    await start_node(soak, joining_node, log_writer)
     await asyncio.sleep(DIRECTORY_DELAY_S)
     for each in (node, joining_node):
         await expect_served(soak, each, f"odd-s1-{each.name}", "s1")
@@ -213,7 +232,11 @@
     node = endless_node
     await expect_served(soak, node, "before")
     await check_endless_responses(soak, node)
-    await check_odd_directory_rows(soak, node, joining_node)
+    log_reader, log_writer = os.pipe()
+    fcntl.fcntl(log_writer, fcntl.F_SETPIPE_SZ, SMALL_PIPE_BYTES)
+    await check_odd_directory_rows(soak, node, joining_node, log_writer)
+    os.close(log_writer)
+    await check_unread_log(soak, joining_node, log_reader)
     endless_address = free_addresses(1)[0]
     await EndlessBackend(endless_address).start()
     for proxy in (sound_node.proxy, node.store_proxy):
--- a/testsuite/harness/soak.py
+++ b/testsuite/harness/soak.py
@@ -100,7 +100,8 @@
         self.excused_until = 0
         self.stopping = False
 
-    def start(self):
+    def start(self, output=None):
+        """Starts the process; `output` takes the place of its log file."""
         self.stopping = False
         settings = {
             "node": self.name, "zone": "z", "service": self.service,
@@ -116,7 +117,8 @@
             file.writelines(f"{name} = {value}\n" for name, value in settings.items())
         with open(os.path.join(self.soak.log_dir, f"{self.name}.log"), "ab") as log:
             self.process = subprocess.Popen(
-                [self.soak.program], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                [self.soak.program], stdin=subprocess.DEVNULL,
+                stdout=log if output is None else output, stderr=log,
                 env={**os.environ, "CASSIAKEEL_NODE_FILE": path})
 
     def excuse_lost_responses(self, seconds):
