Name the result of a moved request in faulty_peer_test

Cause: clang-tidy takes the loop inside CHECK for a second use of the moved request. Change: the result has a name.

--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -151,7 +151,8 @@
   fetch.request.method = "POST";
   fetch.request.body = std::string(8U << 20U, 'x');
   fetch.deadline = loop.clock.Now() + milliseconds(2900);
-  CHECK(Run(loop, *client, std::move(fetch)).end == FetchEnd::kComplete);
+  const auto late = Run(loop, *client, std::move(fetch));
+  CHECK(late.end == FetchEnd::kComplete);
   CHECK(Run(loop, *client, GetFrom(loop, server.address(), "2")).end ==
         FetchEnd::kComplete);
   CHECK(client->connections_opened() == 1);
