--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -118,7 +118,8 @@
     fetch.request.method = "POST";
     fetch.request.body = std::string(16U << 20U, 'x');
     fetch.deadline = loop.clock.Now() + milliseconds(2000);
-    CHECK(Run(loop, *client, std::move(fetch)).end == FetchEnd::kNoResponse);
+    const auto result = Run(loop, *client, std::move(fetch));
+    CHECK(result.end == FetchEnd::kNoResponse);
   }
 }
 
