Record a reported departure; check numbers before they are converted

Cause: found on reading the change. A departure that a report announced was not recorded like a deregistration, so that the node logged departure_restored for its own row. A number such as 1e300 in a row was converted before its type was checked, which is undefined. Change: both.

--- a/src/libmesh/backend_watch.cc
+++ b/src/libmesh/backend_watch.cc
@@ -53,6 +53,9 @@
   next.leaving = report.leaving ||
                  (same_start && this->backend.report.leaving) ||
                  this->HasDeparted(report);
+  if (next.leaving) {
+    this->RecordDeparture(next.instance, next.started_at_ms);
+  }
   const bool changed =
       !this->backend.present || IsVisibleChange(next, this->backend.report);
   this->backend = {true, next};
--- a/src/libmesh/registrar.cc
+++ b/src/libmesh/registrar.cc
@@ -27,10 +27,13 @@
                          std::int64_t min,
                          std::int64_t max) {
   const auto& value = row.at(field);
+  // A number beyond 64 bits is not an integer here; one beyond 63 bits becomes
+  // negative below.
+  if (!value.is_number_integer()) {
+    throw std::out_of_range(std::string(field) + " is not a whole number");
+  }
   const auto number = value.get<std::int64_t>();
-  // A number beyond 64 bits is not an integer here, and one beyond 63 bits
-  // becomes negative.
-  if (!value.is_number_integer() || number < min || number > max) {
+  if (number < min || number > max) {
     throw std::out_of_range(std::string(field) + " is out of range");
   }
   return number;
