--- a/src/libmesh/traffic_test.cc
+++ b/src/libmesh/traffic_test.cc
@@ -329,18 +329,32 @@
   node.RequestStop();
   std::this_thread::sleep_for(milliseconds(1500));
   // Keeps the node busy, so that it does not end before the late requests.
-  int status_of_early = 0;
-  std::thread early([&mesh, &status_of_early] {
-    status_of_early = mesh.Call("a", "/back/1", "early", 5000).response.status;
-  });
-  std::this_thread::sleep_for(milliseconds(1700));
+  asio::io_context early_context;
+  const auto early_client = h1::Client::Create(
+      early_context, h1::TimerQueue::Create(early_context, mesh.clock), {});
+  h1::Fetch fetch;
+  fetch.peer = mesh.settings["a"].outbound_address;
+  fetch.request = {
+      "GET",
+      "/back/1",
+      {{"Host", "host"}, {"Attempt", "early"}, {"Timeout", "5000"}},
+      {}};
+  fetch.deadline = mesh.clock.Now() + milliseconds(8000);
+  std::optional<h1::FetchResult> early;
+  early_client->Start(std::move(fetch),
+                      [&early, &early_context](h1::FetchResult end) {
+                        early = std::move(end);
+                        early_context.stop();
+                      });
+  early_context.run_for(milliseconds(1700));
   const auto late = mesh.Call("a", "/back/1", "late", 5000);
   CHECK(late.response.status == 503);
   CHECK(h1::FindHeader(late.response.headers, "Retry-After") != nullptr);
   // Its own time limit ends before the node does.
   CHECK(mesh.Call("a", "/back/1", "short", 300).response.status == 504);
-  early.join();
-  CHECK(status_of_early == 200);
+  early_context.run_for(milliseconds(8000));
+  REQUIRE(early);
+  CHECK(early->response.status == 200);
   node.Join();
   CHECK(backend.runs <= 2);
 }
