--- a/src/include/cassiakeel/base/outcome.h
+++ b/src/include/cassiakeel/base/outcome.h
@@ -36,6 +36,10 @@
   kTimeout,
   kCancelled,
   kServerRefused,
+  /// The request has no key, or one that the policy in force does not hold.
+  kUnauthenticated,
+  /// The tenant's allotment is used up.
+  kAllotment,
 };
 
 /// Value of the `Cassiakeel-Outcome` header: "ran", "not-run" or "unknown".
--- a/src/include/cassiakeel/base/strong.h
+++ b/src/include/cassiakeel/base/strong.h
@@ -36,6 +36,8 @@
 using NodeId = Strong<std::string, struct NodeIdTag>;
 /// Name of a service, the first path segment of a call.
 using ServiceName = Strong<std::string, struct ServiceNameTag>;
+/// Name of a tenant: a party whose callers share keys and an allotment.
+using TenantName = Strong<std::string, struct TenantNameTag>;
 /// Name of an availability zone.
 using ZoneName = Strong<std::string, struct ZoneNameTag>;
 /// Name of a region.
--- a/src/libbase/outcome.cc
+++ b/src/libbase/outcome.cc
@@ -11,7 +11,7 @@
     {Outcome::kUnknown, "unknown"},
 }};
 
-constexpr pvt::EnumNames<Reason, 21> kReasonNames = {{
+constexpr pvt::EnumNames<Reason, 23> kReasonNames = {{
     {Reason::kNone, "none"},
     {Reason::kOverload, "overload"},
     {Reason::kDeadline, "deadline"},
@@ -33,6 +33,8 @@
     {Reason::kTimeout, "timeout"},
     {Reason::kCancelled, "cancelled"},
     {Reason::kServerRefused, "server-refused"},
+    {Reason::kUnauthenticated, "unauthenticated"},
+    {Reason::kAllotment, "allotment"},
 }};
 
 }  // namespace
--- a/src/libmesh/statistics.h
+++ b/src/libmesh/statistics.h
@@ -9,7 +9,7 @@
 namespace cassiakeel::mesh::pvt {
 
 inline constexpr std::size_t kReasonCount =
-    static_cast<std::size_t>(Reason::kServerRefused) + 1;
+    static_cast<std::size_t>(Reason::kAllotment) + 1;
 
 /// Latency histogram in seconds. Buckets are made cumulative on export.
 struct LatencyBuckets {
