Identify callers by key at the node where a request begins

Cause: a policy with tenants has callers show a key. The key was handed on to backend servers, withdrawn keys were served, and no server learned the tenant. Change: the dispatcher authenticates requests on routes that are not public, replaces the key by the tenant's name, answers 401 to a key that the policy does not hold (503 if a peer has a newer policy), and checks the key again before a retry. Nodes keep and exchange digests of keys only. A node that a peer has told of a newer policy and that cannot read it from the store asks a peer for it.

--- a/src/include/cassiakeel/mesh/call.h
+++ b/src/include/cassiakeel/mesh/call.h
@@ -29,6 +29,8 @@
   std::string not_run;
   /// Service on the machine from which the request was sent.
   std::string caller_service;
+  /// Tenant of the caller's key, for the backend server.
+  std::string tenant;
   /// Backend servers may build the id of a downstream call from the id of the
   /// parent request, this separator and a suffix. This is only a hint: calls
   /// with other ids are handled as well. 0 if the deployment has no such
--- a/src/include/cassiakeel/mesh/control.h
+++ b/src/include/cassiakeel/mesh/control.h
@@ -30,6 +30,11 @@
     std::function<Result<std::shared_ptr<const TrafficPolicy>>(
         const std::string& value)>;
 
+/// Removes the secrets of callers from the value of a policy's row, so that
+/// nodes neither keep them nor send them to each other. `PolicyDecoder` accepts
+/// the result.
+using PolicyRedactor = std::function<std::string(const std::string& value)>;
+
 /// Tells a backend server whether what it said is in effect. May run on another
 /// thread than the control thread.
 using ConfirmHandler = std::function<void(bool in_effect)>;
@@ -49,7 +54,8 @@
       std::shared_ptr<h1::TimerQueue> timers,
       const Clock& clock,
       MeshNode& node,
-      PolicyDecoder decode_policy);
+      PolicyDecoder decode_policy,
+      PolicyRedactor redact_policy = {});
   ~MeshControl();
 
   void Start();
--- a/src/include/cassiakeel/mesh/traffic_policy.h
+++ b/src/include/cassiakeel/mesh/traffic_policy.h
@@ -10,6 +10,7 @@
 
 #include "cassiakeel/base/random.h"
 #include "cassiakeel/base/strong.h"
+#include "cassiakeel/tenancy/tenant_table.h"
 
 namespace cassiakeel::mesh {
 
@@ -39,6 +40,8 @@
   /// Maximum number of backend servers to which one request is sent.
   int max_attempts = 1;
   std::vector<WeightedService> services;
+  /// Requests need no key, also if the policy names tenants.
+  bool is_public = false;
 };
 
 /// Limits on the HTTP input that a node accepts from clients.
@@ -54,11 +57,13 @@
  public:
   TrafficPolicy(PolicyVersion version,
                 std::vector<Route> routes,
-                InputLimits limits);
+                InputLimits limits,
+                tenancy::TenantTable tenants = {});
 
   PolicyVersion version() const { return this->policy_version; }
   const std::vector<Route>& routes() const { return this->route_list; }
   const InputLimits& limits() const { return this->input_limits; }
+  const tenancy::TenantTable& tenants() const { return this->tenant_table; }
 
   /// The route of `host` (ignoring a port) whose path prefix is the longest
   /// match for `target`, or null.
@@ -68,6 +73,7 @@
   PolicyVersion policy_version;
   std::vector<Route> route_list;
   InputLimits input_limits;
+  tenancy::TenantTable tenant_table;
   /// Indexes into `route_list` by lower-case host name, longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> by_host;
 };
--- a/src/include/cassiakeel/tenancy/credential.h
+++ b/src/include/cassiakeel/tenancy/credential.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include <span>
-#include <string>
 #include <string_view>
-#include <utility>
+
+#include "cassiakeel/http/message.h"
 
 namespace cassiakeel::tenancy {
 
@@ -22,8 +21,7 @@
   std::string_view key;
 };
 
-Credential ReadCredential(
-    std::span<const std::pair<std::string, std::string>> headers);
+Credential ReadCredential(const http::HeaderList& headers);
 
 /// Name of the header field with the credential.
 inline constexpr std::string_view kCredentialField = "Authorization";
--- a/src/include/cassiakeel/tenancy/tenant_table.h
+++ b/src/include/cassiakeel/tenancy/tenant_table.h
@@ -18,6 +18,10 @@
 
 KeyDigest DigestOf(std::string_view key);
 
+/// Digest as 64 lower-case hex digits, and its inverse; nothing for other text.
+std::string FormatDigest(const KeyDigest& digest);
+std::optional<KeyDigest> ParseDigest(std::string_view text);
+
 /// A party whose callers show one of its keys.
 struct Tenant {
   TenantName name;
@@ -25,6 +29,10 @@
   /// the order to the routes.
   std::optional<int> priority;
   std::vector<KeyDigest> keys;
+  /// Allotment over all nodes together: requests per second, 0 for no limit,
+  /// and requests that may exceed the rate for a short time.
+  double rate_per_s = 0;
+  double burst = 0;
 };
 
 /// The tenants of one policy. Immutable.
@@ -36,6 +44,7 @@
   /// Fails if two tenants have the same name or share a key.
   static Result<TenantTable> Create(std::vector<Tenant> tenants);
 
+  const std::vector<Tenant>& all() const { return this->tenants; }
   bool empty() const { return this->tenants.empty(); }
   /// The tenant that holds the key, or null.
   const Tenant* Find(const KeyDigest& digest) const;
@@ -50,7 +59,7 @@
 /// important. The tenant's priority takes precedence: tenants of priority 0 are
 /// served before all others, whatever the route, and the route orders the
 /// requests of the others.
-int EffectivePriority(const Tenant* tenant, int route_priority);
+int EffectivePriority(std::optional<int> tenant_priority, int route_priority);
 
 /// Shedding rank of a call tree in [0, 1), lower is shed first, by weighted
 /// max-min fairness over the tenants with their allotments as weights.
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -33,12 +33,14 @@
        std::shared_ptr<h1::TimerQueue> timers,
        const Clock& clock,
        MeshNode& node,
-       PolicyDecoder decode_policy)
+       PolicyDecoder decode_policy,
+       PolicyRedactor redact_policy)
       : io_context(io_context),
         mesh(mesh),
         settings(settings),
         node(node),
         decode_policy(std::move(decode_policy)),
+        redact_policy(std::move(redact_policy)),
         log(clock) {
     this->registrar =
         Registrar::Create(store, timers, settings.directory_table, mesh.node);
@@ -144,9 +146,8 @@
                       pvt::JsonString("cause", state.error().ToString()));
       return;
     }
-    if (this->policy_in_force.empty()) {
-      this->OnPolicyRows(state->policy);
-    }
+    // The store may turn this node away while a peer can read it.
+    this->OnPolicyRows(state->policy);
     if (!this->directory_rows->loaded()) {
       this->ApplyDirectory(state->directory, "peer");
     }
@@ -223,6 +224,10 @@
                                           (*policy)->routes().size())));
     this->policy_version = version;
     this->policy_in_force = {*found};
+    if (this->redact_policy) {
+      auto& value = this->policy_in_force.begin()->second.value;
+      value = this->redact_policy(value);
+    }
     this->node.SetPolicy(*policy);
   }
 
@@ -294,6 +299,7 @@
   ControlSettings settings;
   MeshNode& node;
   PolicyDecoder decode_policy;
+  PolicyRedactor redact_policy;
   pvt::DecisionLog log;
   std::shared_ptr<Registrar> registrar;
   std::unique_ptr<BackendWatch> watch;
@@ -319,10 +325,11 @@
     std::shared_ptr<h1::TimerQueue> timers,
     const Clock& clock,
     MeshNode& node,
-    PolicyDecoder decode_policy) {
+    PolicyDecoder decode_policy,
+    PolicyRedactor redact_policy) {
   return std::unique_ptr<MeshControl>(new MeshControl(std::make_unique<Impl>(
       io_context, mesh, settings, store, std::move(timers), clock, node,
-      std::move(decode_policy))));
+      std::move(decode_policy), std::move(redact_policy))));
 }
 
 MeshControl::MeshControl(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
--- a/src/libmesh/dispatched_call.cc
+++ b/src/libmesh/dispatched_call.cc
@@ -38,6 +38,7 @@
                        std::shared_ptr<h1::Exchange> exchange,
                        std::shared_ptr<const TrafficPolicy> policy,
                        const Route& route,
+                       std::optional<tenancy::Caller> caller,
                        std::optional<milliseconds> caller_timeout)
     : owner(owner),
       exchange(std::move(exchange)),
@@ -47,6 +48,7 @@
       caller_deadline(this->received +
                       caller_timeout.value_or(kDefaultTimeout)),
       deadline(this->caller_deadline),
+      caller(std::move(caller)),
       kind(StableHash(route.name.Value())),
       timer(owner.timers) {
   if (route.timeout.count() > 0) {
@@ -63,7 +65,11 @@
 void Dispatcher::Call::Run(std::optional<SteadyTime> latest_end) {
   this->parent =
       this->owner.gate.FindParent(this->attempt_id, this->caller_deadline);
-  this->priority = this->parent ? this->parent->priority : route.priority;
+  this->priority =
+      this->parent ? this->parent->priority
+                   : tenancy::EffectivePriority(
+                         this->caller ? this->caller->priority : std::nullopt,
+                         route.priority);
   this->tree_rank =
       this->parent
           ? this->parent->tree_rank
@@ -101,7 +107,16 @@
   return true;
 }
 
+bool Dispatcher::Call::KeyIsWithdrawn() const {
+  return this->caller &&
+         !tenancy::IsHeld(this->owner.policy->tenants(), *this->caller);
+}
+
 void Dispatcher::Call::Attempt() {
+  if (this->KeyIsWithdrawn()) {
+    this->FinishWithError(Reason::kUnauthenticated);
+    return;
+  }
   const auto now = this->owner.timers->Now();
   auto& pool = this->owner.pools.PoolFor(this->service);
   const routing::SelectionRequest request{RequestClass::kCritical,
@@ -379,6 +394,8 @@
   h1::Response response;
   if (this->may_have_run) {
     response.status = reason == Reason::kTimeout ? 504 : 502;
+  } else if (reason == Reason::kUnauthenticated) {
+    response = {401, {{"WWW-Authenticate", "Bearer"}}, {}};
   } else {
     response.status = 503;
     const auto left =
--- a/src/libmesh/dispatched_call.h
+++ b/src/libmesh/dispatched_call.h
@@ -16,6 +16,7 @@
        std::shared_ptr<h1::Exchange> exchange,
        std::shared_ptr<const TrafficPolicy> policy,
        const Route& route,
+       std::optional<tenancy::Caller> caller,
        std::optional<std::chrono::milliseconds> caller_timeout);
   // With `latest_end`, refuses the request if its time limit ends later.
   void Run(std::optional<SteadyTime> latest_end);
@@ -25,6 +26,8 @@
   // spent on it. Returns true if the request was refused.
   bool ShedAtEntry();
   void Attempt();
+  // True if a policy that came into force since has withdrawn the caller's key.
+  bool KeyIsWithdrawn() const;
   // Sends the request again to the server that refused it, because the route
   // does not allow another server.
   void RetrySameServer();
@@ -67,6 +70,8 @@
   SteadyTime caller_deadline;
   SteadyTime deadline;
   std::string attempt_id;
+  /// The tenant whose key the request showed; none for a public route.
+  std::optional<tenancy::Caller> caller;
   /// The running call of this machine's backend server that made this request.
   std::optional<ParentCall> parent;
   int priority = 0;
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -27,6 +27,8 @@
 constexpr std::size_t kMaxIdleConnectionsPerPeer = 48;
 // A few round trips with a directory of 1,000 rows on a loaded machine.
 constexpr milliseconds kSendStateTimeout{2000};
+// A node that learns of a newer policy from a peer has read it by then.
+constexpr milliseconds kBehindRetryAfter{300};
 // Sufficient to identify the intended route.
 constexpr std::size_t kMaxLoggedPathBytes = 128;
 
@@ -97,13 +99,33 @@
     this->Reject(*exchange, {404, {}, {}}, Reason::kUnknownKind);
     return;
   }
+  std::optional<tenancy::Caller> caller;
+  if (!this->policy->tenants().empty()) {
+    if (!route->is_public) {
+      caller = tenancy::Authenticate(this->policy->tenants(), request.headers);
+      if (!caller) {
+        this->Reject(*exchange, this->RefuseCaller(), Reason::kUnauthenticated);
+        return;
+      }
+    }
+    tenancy::ReplaceCredential(exchange->request().headers,
+                               this->settings.fields.tenant, caller);
+  }
   const auto caller_timeout = ParseMilliseconds(
       h1::FindHeader(request.headers, this->settings.fields.timeout_ms));
   std::make_shared<Call>(*this, std::move(exchange), this->policy, *route,
-                         caller_timeout)
+                         std::move(caller), caller_timeout)
       ->Run(latest_end);
 }
 
+h1::Response Dispatcher::RefuseCaller() const {
+  if (this->policy->version().Value() < this->newest_policy) {
+    // The policy that another node already has may hold the key.
+    return {503, {{"Retry-After", FormatSeconds(kBehindRetryAfter)}}, {}};
+  }
+  return {401, {{"WWW-Authenticate", "Bearer"}}, {}};
+}
+
 void Dispatcher::SendState(const PeerAddress& address, std::string state) {
   h1::Fetch fetch;
   fetch.peer = address;
--- a/src/libmesh/dispatcher.h
+++ b/src/libmesh/dispatcher.h
@@ -11,6 +11,7 @@
 #include "cassiakeel/h1/server.h"
 #include "cassiakeel/mesh/settings.h"
 #include "cassiakeel/mesh/traffic_policy.h"
+#include "cassiakeel/tenancy/authenticate.h"
 #include "entry_shed_level.h"
 #include "retry_quota.h"
 #include "service_pools.h"
@@ -35,6 +36,8 @@
   void SetPolicy(std::shared_ptr<const TrafficPolicy> next);
   void SetDirectory(std::shared_ptr<const Directory> next);
   void SetVersions(const StateVersions& next) { this->versions = next; }
+  /// Sets the newest policy version that this node or a peer has.
+  void SetNewestPolicy(std::uint64_t version) { this->newest_policy = version; }
   /// Sets a handler that is called with the state versions of other nodes.
   void OnPeerVersions(std::function<void(const StateVersions&)> handler) {
     this->on_peer_versions = std::move(handler);
@@ -64,6 +67,8 @@
              DecisionLog& log,
              Statistics& statistics);
 
+  // The answer to a request without a key that the policy holds.
+  h1::Response RefuseCaller() const;
   // Responds to a request that is not dispatched.
   void Reject(h1::Exchange& exchange, h1::Response response, Reason reason);
 
@@ -76,6 +81,7 @@
   std::shared_ptr<const TrafficPolicy> policy;
   ServicePools pools;
   StateVersions versions;
+  std::uint64_t newest_policy = 0;
   std::function<void(const StateVersions&)> on_peer_versions;
   std::function<void(const PeerAddress&)> on_state_request;
   RetryQuota quota;
--- a/src/libmesh/mesh_test_support.h
+++ b/src/libmesh/mesh_test_support.h
@@ -41,7 +41,7 @@
 
 inline FieldNames TestFields() {
   return {"Attempt", "Timeout", "Signature", "Expect-Id",
-          "Not-Run", "Caller",  '.'};
+          "Not-Run", "Caller",  "Tenant",    '.'};
 }
 
 /// A backend server on its own thread. Handles requests with the given handler
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -41,6 +41,10 @@
 // Delay before peers are asked for state; several times the duration of a read
 // from the store.
 constexpr milliseconds kStateRequestDelay{300};
+// A node that can read the store has the newer policy of a peer by then. A node
+// that the store turns away gets it from a peer, within half of the time in
+// which a policy has to be in force.
+constexpr milliseconds kOutdatedPolicyDelay{800};
 // Longer than a peer takes to send a directory of 1,000 rows, so that few peers
 // send it at the same time.
 constexpr milliseconds kStateRequestInterval{400};
@@ -132,6 +136,9 @@
     this->policy = next;
     this->versions.policy = next->version().Value();
     this->dispatcher->SetVersions(this->versions);
+    if (!this->PolicyIsOutdated()) {
+      this->outdated_since.reset();
+    }
     const auto& limits = next->limits();
     this->client_limits.message = {limits.header_bytes, limits.body_bytes};
     this->client_limits.header_timeout = limits.header_timeout;
@@ -203,6 +210,10 @@
         std::max(this->reported_versions.policy, peer.policy);
     this->reported_versions.directory =
         std::max(this->reported_versions.directory, peer.directory);
+    this->dispatcher->SetNewestPolicy(this->reported_versions.policy);
+    if (this->PolicyIsOutdated() && !this->outdated_since) {
+      this->outdated_since = this->clock.Now();
+    }
     if (this->peer_handlers.on_newer_versions) {
       this->peer_handlers.on_newer_versions(this->reported_versions);
     }
@@ -211,11 +222,24 @@
   // True if this node has the state that it needs to dispatch requests.
   bool HasState() const { return this->policy && this->has_directory; }
 
+  // True if a peer has a newer policy.
+  bool PolicyIsOutdated() const {
+    return this->versions.policy < this->reported_versions.policy;
+  }
+
+  // True if the store has not provided the state that this node needs, although
+  // it had the time to.
+  bool LacksState(SteadyTime now) const {
+    return !this->HasState() ||
+           (this->outdated_since &&
+            now - *this->outdated_since >= kOutdatedPolicyDelay);
+  }
+
   // True if the next result should ask the caller's node for control state: the
   // store has not provided it, and no other request for it was made recently.
   bool ShouldRequestState() {
     const auto now = this->clock.Now();
-    if (this->HasState() || now < this->next_state_request) {
+    if (!this->LacksState(now) || now < this->next_state_request) {
       return false;
     }
     this->next_state_request = now + kStateRequestInterval;
@@ -359,6 +383,8 @@
   std::shared_ptr<const TrafficPolicy> policy;
   StateVersions versions;
   StateVersions reported_versions;
+  /// When this node learned that a peer has a newer policy than its own.
+  std::optional<SteadyTime> outdated_since;
   PeerHandlers peer_handlers;
   SteadyTime next_state_request;
   std::size_t directory_size = 0;
--- a/src/libmesh/traffic_policy.cc
+++ b/src/libmesh/traffic_policy.cc
@@ -19,10 +19,12 @@
 
 TrafficPolicy::TrafficPolicy(PolicyVersion version,
                              std::vector<Route> routes,
-                             InputLimits limits)
+                             InputLimits limits,
+                             tenancy::TenantTable tenants)
     : policy_version(version),
       route_list(std::move(routes)),
-      input_limits(limits) {
+      input_limits(limits),
+      tenant_table(std::move(tenants)) {
   for (std::size_t i = 0; i < this->route_list.size(); ++i) {
     this->by_host[HostKey(this->route_list[i].host)].push_back(i);
   }
--- a/src/libtenancy/credential.cc
+++ b/src/libtenancy/credential.cc
@@ -12,12 +12,6 @@
 // Characters of a token besides letters and digits (b64token of RFC 6750).
 constexpr std::string_view kTokenPunctuation = "-._~+/=";
 
-bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
-  return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) {
-    return std::tolower(x) == std::tolower(y);
-  });
-}
-
 bool IsTokenCharacter(unsigned char c) {
   return std::isalnum(c) != 0 ||
          kTokenPunctuation.find(static_cast<char>(c)) != std::string_view::npos;
@@ -32,7 +26,7 @@
 std::string_view KeyOf(std::string_view value) {
   const auto space = value.find(' ');
   if (space == std::string_view::npos ||
-      !EqualsIgnoreCase(value.substr(0, space), kScheme)) {
+      !http::EqualsIgnoreCase(value.substr(0, space), kScheme)) {
     return {};
   }
   const auto start = value.find_first_not_of(' ', space);
@@ -45,11 +39,10 @@
 
 }  // namespace
 
-Credential ReadCredential(
-    std::span<const std::pair<std::string, std::string>> headers) {
+Credential ReadCredential(const http::HeaderList& headers) {
   Credential credential;
   for (const auto& [name, value] : headers) {
-    if (!EqualsIgnoreCase(name, kCredentialField)) {
+    if (!http::EqualsIgnoreCase(name, kCredentialField)) {
       continue;
     }
     if (credential.state != Credential::State::kMissing) {
--- a/src/libtenancy/tenancy_test.cc
+++ b/src/libtenancy/tenancy_test.cc
@@ -5,18 +5,20 @@
 #include <algorithm>
 #include <cmath>
 
+#include "cassiakeel/tenancy/authenticate.h"
 #include "cassiakeel/tenancy/credential.h"
 #include "cassiakeel/tenancy/tenant_table.h"
 
 namespace cassiakeel::tenancy {
 namespace {
 
-using Headers = std::vector<std::pair<std::string, std::string>>;
+using Headers = http::HeaderList;
 using State = Credential::State;
 
 Tenant MakeTenant(const std::string& name,
                   const std::vector<std::string>& keys) {
-  Tenant tenant{TenantName(name), std::nullopt, {}};
+  Tenant tenant;
+  tenant.name = TenantName(name);
   for (const auto& key : keys) {
     tenant.keys.push_back(DigestOf(key));
   }
@@ -65,6 +67,35 @@
   CHECK(table->Find(DigestOf("")) == nullptr);
 }
 
+// Guards against keys handed on and tenants that clients claim.
+TEST_CASE("the server gets the tenant of the key and not the key") {
+  const auto table = TenantTable::Create({MakeTenant("a", {"k1"})});
+  REQUIRE(table);
+  Headers headers{{"authorization", "Bearer k1"}, {"x-tenant", "b"}};
+  const auto caller = Authenticate(*table, headers);
+  REQUIRE(caller);
+  ReplaceCredential(headers, "X-Tenant", caller);
+  CHECK(headers == Headers{{"X-Tenant", "a"}});
+  Headers without{{"Authorization", "Bearer k9"}, {"X-TENANT", "a"}};
+  CHECK_FALSE(Authenticate(*table, without));
+  ReplaceCredential(without, "X-Tenant", std::nullopt);
+  CHECK(without.empty());
+}
+
+// Guards against a retry under a key that was withdrawn meanwhile.
+TEST_CASE("a key is held only while its tenant has it") {
+  const auto before =
+      TenantTable::Create({MakeTenant("a", {"k1", "k2"}), MakeTenant("b", {})});
+  const auto after =
+      TenantTable::Create({MakeTenant("a", {"k2"}), MakeTenant("b", {"k1"})});
+  REQUIRE((before && after));
+  const auto first = Authenticate(*before, {{"Authorization", "Bearer k1"}});
+  const auto second = Authenticate(*before, {{"Authorization", "Bearer k2"}});
+  CHECK(IsHeld(*before, *first));
+  CHECK_FALSE(IsHeld(*after, *first));
+  CHECK(IsHeld(*after, *second));
+}
+
 // Guards against requests counted for one tenant and charged to another.
 TEST_CASE("tenants with a common name or key are rejected") {
   CHECK_FALSE(
@@ -74,14 +105,10 @@
 }
 
 TEST_CASE("a tenant's priority goes before the route's") {
-  Tenant first = MakeTenant("a", {});
-  first.priority = 0;
-  Tenant second = MakeTenant("b", {});
-  second.priority = 1;
-  CHECK(EffectivePriority(nullptr, 2) == 2);
-  CHECK(EffectivePriority(&first, 2) < EffectivePriority(&second, 0));
-  CHECK(EffectivePriority(&second, 0) < EffectivePriority(&second, 1));
-  CHECK(EffectivePriority(&second, 1000) == 3);
+  CHECK(EffectivePriority(std::nullopt, 2) == 2);
+  CHECK(EffectivePriority(0, 2) < EffectivePriority(1, 0));
+  CHECK(EffectivePriority(1, 0) < EffectivePriority(1, 1));
+  CHECK(EffectivePriority(1, 1000) == 3);
 }
 
 // Guards against a tenant that sends several times its usual and takes the room
--- a/src/libtenancy/tenant_table.cc
+++ b/src/libtenancy/tenant_table.cc
@@ -11,6 +11,7 @@
 
 // The product has four request classes; later priorities share the last one.
 constexpr int kLastPriority = 3;
+constexpr std::string_view kHexDigits = "0123456789abcdef";
 // Keeps ranks below 1, the lower end of the next request class.
 constexpr double kMaxRank = 0.999999;
 
@@ -25,6 +26,32 @@
   return digest;
 }
 
+std::string FormatDigest(const KeyDigest& digest) {
+  std::string text;
+  text.reserve(2 * digest.size());
+  for (const auto byte : digest) {
+    text += kHexDigits[byte >> 4U];
+    text += kHexDigits[byte & 0xFU];
+  }
+  return text;
+}
+
+std::optional<KeyDigest> ParseDigest(std::string_view text) {
+  KeyDigest digest{};
+  if (text.size() != 2 * digest.size()) {
+    return std::nullopt;
+  }
+  for (std::size_t i = 0; i < digest.size(); ++i) {
+    const auto high = kHexDigits.find(text[2 * i]);
+    const auto low = kHexDigits.find(text[2 * i + 1]);
+    if (high == std::string_view::npos || low == std::string_view::npos) {
+      return std::nullopt;
+    }
+    digest[i] = static_cast<std::uint8_t>(high << 4U | low);
+  }
+  return digest;
+}
+
 Result<TenantTable> TenantTable::Create(std::vector<Tenant> tenants) {
   TenantTable table;
   std::set<TenantName> names;
@@ -51,14 +78,14 @@
   return found == this->by_key.end() ? nullptr : &this->tenants[found->second];
 }
 
-int EffectivePriority(const Tenant* tenant, int route_priority) {
-  if (tenant == nullptr || !tenant->priority) {
+int EffectivePriority(std::optional<int> tenant_priority, int route_priority) {
+  if (!tenant_priority) {
     return route_priority;
   }
-  if (*tenant->priority <= 0) {
+  if (*tenant_priority <= 0) {
     return 0;
   }
-  return std::min(kLastPriority, *tenant->priority + route_priority);
+  return std::min(kLastPriority, *tenant_priority + route_priority);
 }
 
 double FairRank(double tree_hash, double use, double mean_use) {
