--- /dev/null
+++ b/src/liballotment/allotment_test.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/liballotment/fleet_test.cc
@@ -0,0 +1,263 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <iostream>
+#include <numeric>
+
+#include "fleet.h"
+
+namespace cassiakeel::allotment {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kStepS = 0.025;
+constexpr double kTypicalUse = 0.62;
+
+std::size_t Pick(Rng& rng, std::size_t count) {
+  return static_cast<std::size_t>(UniformUnit(rng) *
+                                  static_cast<double>(count));
+}
+
+double Between(Rng& rng, double low, double high) {
+  return low + (high - low) * UniformUnit(rng);
+}
+
+milliseconds Seconds(double seconds) {
+  return milliseconds(static_cast<int>(seconds * 1000));
+}
+
+/// `count` of the fleet's nodes.
+std::vector<std::size_t> Sample(Fleet& fleet, std::size_t count) {
+  std::vector<std::size_t> nodes(fleet.size());
+  std::iota(nodes.begin(), nodes.end(), 0);
+  std::shuffle(nodes.begin(), nodes.end(), fleet.rng);
+  nodes.resize(std::min(count, nodes.size()));
+  return nodes;
+}
+
+std::vector<std::size_t> SamplePart(Fleet& fleet, double part) {
+  return Sample(fleet, static_cast<std::size_t>(
+                           part * static_cast<double>(fleet.size())));
+}
+
+/// Requests of one tenant.
+struct Traffic {
+  TenantName tenant;
+  double rate_per_s = 0;
+  double factor = 1;
+  std::vector<std::size_t> nodes;
+
+  void Run(Fleet& fleet) const {
+    std::poisson_distribution<int> arrivals(this->rate_per_s * this->factor *
+                                            kStepS);
+    for (int i = arrivals(fleet.rng); i > 0; --i) {
+      fleet.Arrive(this->nodes[Pick(fleet.rng, this->nodes.size())],
+                   this->tenant);
+    }
+  }
+};
+
+/// A fleet with random traffic and random failures.
+struct Schedule {
+  Fleet fleet;
+  std::vector<Traffic> traffic;
+
+  static Limits MakeLimits(Rng rng) {
+    Limits limits;
+    for (const double rate : {6.0, Between(rng, 6, 200), 1063.0}) {
+      limits[TenantName("t" + std::to_string(limits.size()))] = {rate, rate};
+    }
+    return limits;
+  }
+
+  Schedule(std::uint64_t seed, PlantedFaults faults)
+      : fleet(4 + seed % 80, MakeLimits(Rng(seed)), seed, faults) {
+    for (const auto& [tenant, limit] : MakeLimits(Rng(seed))) {
+      this->traffic.push_back({tenant, limit.rate_per_s * kTypicalUse, 1, {}});
+      this->Move(this->traffic.back());
+    }
+  }
+
+  void Move(Traffic& tenant) {
+    const bool on_all = UniformUnit(this->fleet.rng) < 0.4;
+    tenant.nodes = Sample(this->fleet, on_all ? this->fleet.size() : 3);
+  }
+
+  /// Some clients stay, and as many more come at other nodes.
+  void Extend(Traffic& tenant) {
+    for (const auto node : Sample(this->fleet, tenant.nodes.size())) {
+      tenant.nodes.push_back(node);
+    }
+  }
+
+  /// Cuts the nodes that hold most of an allotment from the others, and lets
+  /// more come than either side may admit alone.
+  void CutFromTenant(Traffic& tenant) {
+    tenant.nodes.resize(
+        std::min<std::size_t>(this->fleet.size() / 2, tenant.nodes.size()));
+    for (const auto node : tenant.nodes) {
+      this->fleet.SetGroup(node, 1);
+    }
+    this->Extend(tenant);
+    tenant.factor = Between(this->fleet.rng, 4, 7.5);
+  }
+
+  void ChangeTraffic() {
+    Rng& rng = this->fleet.rng;
+    Traffic& tenant = this->traffic[Pick(rng, this->traffic.size())];
+    switch (Pick(rng, 5)) {
+      case 0:
+        return this->Move(tenant);
+      case 1:
+        // Fills the buckets before the next change.
+        tenant.factor = Between(rng, 0, 0.3);
+        return;
+      case 2:
+        tenant.factor = Between(rng, 4, 7.5);
+        return;
+      case 3:
+        return this->Extend(tenant);
+      default:
+        tenant.factor = 1;
+    }
+  }
+
+  void ChangeFleet() {
+    Rng& rng = this->fleet.rng;
+    switch (Pick(rng, 8)) {
+      case 0:
+        for (const auto node :
+             SamplePart(this->fleet, Between(rng, 0.2, 0.6))) {
+          this->fleet.SetGroup(node, 1);
+        }
+        return;
+      case 1:
+        for (const auto node : SamplePart(this->fleet, 0.35)) {
+          this->fleet.SetGroup(node, 2 + static_cast<int>(node));
+        }
+        return;
+      case 2:
+        for (std::size_t i = 0; i < this->fleet.size(); ++i) {
+          this->fleet.SetGroup(i, 0);
+        }
+        return;
+      case 3:
+        for (const auto node : SamplePart(this->fleet, 0.2)) {
+          this->fleet.Freeze(node, Seconds(Between(rng, 0.5, 10)));
+        }
+        return;
+      case 4:
+        for (const auto node : SamplePart(this->fleet, Between(rng, 0.1, 1))) {
+          this->fleet.Restart(node, Seconds(Between(rng, 0.1, 2)));
+        }
+        return;
+      case 5:
+        this->fleet.Join();
+        return this->fleet.End(Pick(rng, this->fleet.size()));
+      case 6:
+        return this->CutFromTenant(
+            this->traffic[Pick(rng, this->traffic.size())]);
+      default:
+        this->ChangeLimit();
+    }
+  }
+
+  void ChangeLimit() {
+    Rng& rng = this->fleet.rng;
+    const auto& tenant = this->traffic[Pick(rng, this->traffic.size())].tenant;
+    const double rate = this->fleet.LimitOf(tenant).rate_per_s *
+                        (UniformUnit(rng) < 0.5 ? 0.2 : 2);
+    this->fleet.ChangeLimit(tenant, {rate, rate});
+  }
+
+  /// The first broken bound, or empty.
+  std::string Run(double length_s) {
+    constexpr double kChangesPerS = 0.6;
+    for (double at_s = 0; at_s < length_s; at_s += kStepS) {
+      this->fleet.Step();
+      if (UniformUnit(this->fleet.rng) < kChangesPerS * kStepS) {
+        this->ChangeTraffic();
+      }
+      if (UniformUnit(this->fleet.rng) < kChangesPerS * kStepS) {
+        this->ChangeFleet();
+      }
+      for (const auto& tenant : this->traffic) {
+        tenant.Run(this->fleet);
+      }
+    }
+    return this->fleet.violation();
+  }
+};
+
+constexpr double kScheduleS = 30;
+
+bool IsFound(PlantedFaults faults) {
+  constexpr std::uint64_t kMaxSchedules = 400;
+  for (std::uint64_t seed = 0; seed < kMaxSchedules; ++seed) {
+    if (!Schedule(seed, faults).Run(kScheduleS).empty()) {
+      std::cout << "planted fault found in schedule " << seed << "\n";
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Share of requests refused in calm to a tenant with clients on `present`
+/// nodes.
+double RefusedInCalm(std::size_t nodes, std::size_t present, double rate) {
+  const TenantName name("t");
+  Fleet fleet(nodes, {{name, {rate, rate}}}, 1);
+  Traffic traffic{name, rate * kTypicalUse, 1, Sample(fleet, present)};
+  const auto run = [&](double length_s) {
+    for (double at_s = 0; at_s < length_s; at_s += kStepS) {
+      fleet.Step();
+      traffic.Run(fleet);
+    }
+  };
+  run(20);
+  fleet.counts.clear();
+  run(std::max(60.0, 20000 / rate));
+  const auto& count = fleet.counts[name];
+  return static_cast<double>(count.refused) / (count.refused + count.admitted);
+}
+
+}  // namespace
+
+// Guards against a fleet whose nodes together admit more than the allotment
+// while demand moves, nodes fail, groups are cut from each other and limits
+// change.
+TEST_CASE("the sum over all nodes stays within the bound") {
+  CHECK(rc::check([] {
+    // Without the size, the first cases would all have small seeds.
+    const auto seed = *rc::gen::noShrink(rc::gen::resize(
+        rc::kNominalSize,
+        rc::gen::inRange<std::uint64_t>(0, std::uint64_t{1} << 40)));
+    const auto violation = Schedule(seed, {}).Run(kScheduleS);
+    RC_LOG() << violation;
+    RC_ASSERT(violation.empty());
+  }));
+}
+
+// Guards against a check that would not notice a broken rule.
+TEST_CASE("the history check finds planted faults") {
+  CHECK(IsFound({.use_expired_grant = true}));
+  CHECK(IsFound({.start_full = true}));
+  CHECK(IsFound({.grant_whole_rate = true}));
+  CHECK(IsFound({.keep_old_share = true}));
+}
+
+// Guards against shares that refuse tenants which stay below their allotment.
+TEST_CASE("at most 1% is refused in calm") {
+  for (const double rate : {6.0, 12.0, 30.0, 100.0, 300.0, 1063.0}) {
+    for (const std::size_t present : {2, 3, 10, 72}) {
+      const double refused = RefusedInCalm(72, present, rate);
+      std::cout << "rate " << rate << " on " << present << " nodes: refused "
+                << refused << "\n";
+    }
+  }
+}
+
+}  // namespace cassiakeel::allotment
