Allotments: count the requests of a window instead of token buckets

Cause: a node's token bucket of rate and depth admits less in a window than the bound permits, so that 27% of a tenant of rate 100 on 72 nodes was refused in calm, and 2.7% of rate 6 on 3 nodes. Change: a share is a number of requests per window; coordinators count what a node may have used in the last window, also by earlier processes, and restarted nodes count as new to a coordinator.

--- a/src/include/cassiakeel/allotment/codec.h
+++ b/src/include/cassiakeel/allotment/codec.h
@@ -11,11 +11,11 @@
 /// numbers that are not finite or out of range.
 namespace cassiakeel::allotment {
 
-/// [node, sequence, held, attached ms, [tenant, demand, ...]]
+/// [node, sequence, held, attached ms, [tenant, demand, used, ...]]
 std::string EncodeReport(const DemandReport& report);
 Result<DemandReport> DecodeReport(const std::string& bytes);
 
-/// [sequence, counted, [tenant, rate fraction, depth fraction, use, ...]]
+/// [sequence, counted, [tenant, fraction, use, ...]]
 std::string EncodeGrant(const ShareGrant& grant);
 Result<ShareGrant> DecodeGrant(const std::string& bytes);
 
--- a/src/include/cassiakeel/allotment/coordinator.h
+++ b/src/include/cassiakeel/allotment/coordinator.h
@@ -21,17 +21,23 @@
   struct Account {
     std::int64_t demand = 0;
     std::int64_t weight = 0;
-    /// Highest fractions beyond the idle share that the node may be using.
-    std::int64_t rate = 0;
-    std::int64_t depth = 0;
-    /// Fractions of the last grant.
-    std::int64_t granted_rate = 0;
-    std::int64_t granted_depth = 0;
+    /// Highest fraction beyond the idle share that the node may enforce or may
+    /// have admitted in the last window.
+    std::int64_t held = 0;
+    /// What its earlier processes, and itself with grants that have expired,
+    /// may have admitted in the last window.
+    std::int64_t past = 0;
+    /// Fraction of the last grant.
+    std::int64_t granted = 0;
   };
   struct NodeRecord {
     SteadyTime reported;
-    /// Whether the node is part of the sums.
+    /// End of the window of `past`.
+    SteadyTime past_until;
+    /// Whether the node is counted, so that its demand is part of the sums.
     bool counted = false;
+    bool settled = false;
+    std::uint64_t sequence = 0;
     /// Number of the report that was answered with the last grant; 0 if none.
     std::uint64_t granted = 0;
     std::map<TenantName, Account> accounts;
@@ -40,6 +46,7 @@
   std::map<NodeId, NodeRecord> nodes;
   std::map<TenantName, Account> sums;
   std::size_t counted = 0;
+  std::size_t settled = 0;
   /// First report since the coordinator had none.
   SteadyTime started;
   SteadyTime next_expiry;
@@ -49,6 +56,7 @@
 /// nodes in the directory. Reports beyond `kMaxNodes` nodes are not counted.
 ShareGrant Exchange(Coordinator& coordinator,
                     const Limits& limits,
+                    const Bounds& bounds,
                     std::size_t nodes,
                     const DemandReport& report,
                     SteadyTime now);
--- a/src/include/cassiakeel/allotment/limit.h
+++ b/src/include/cassiakeel/allotment/limit.h
@@ -39,26 +39,35 @@
 inline constexpr std::size_t kMaxNodes = 2000;
 inline constexpr double kMaxDemandPerS = 1e9;
 inline constexpr double kMaxUse = 1e9;
+inline constexpr double kMaxUsed = 1e9;
+
+/// Requests of one tenant that begin at a node.
+struct Demand {
+  /// Requests per second, admitted and refused.
+  double per_s = 0;
+  /// Requests admitted in the last window.
+  std::uint32_t used = 0;
+};
 
 /// What a node tells the coordinator.
 struct DemandReport {
   NodeId node;
-  /// Requests per second that begin at the node, admitted and refused. Tenants
-  /// with negligible demand are absent.
-  std::map<TenantName, double> demand_per_s;
+  /// Tenants with negligible demand are absent.
+  std::map<TenantName, Demand> demand;
   /// Number of the report, from 1 in each process.
   std::uint64_t sequence = 0;
   /// Number of the report that brought the grant in use; 0 if the node holds
   /// none of this coordinator.
   std::uint64_t held = 0;
-  /// Time since the node last reported to another coordinator.
+  /// Time since the node last reported to another coordinator, or since its
+  /// first report.
   std::chrono::milliseconds attached{0};
 };
 
-/// Part of an allotment that a node enforces, in [0, 1].
+/// Part of an allotment that a node enforces.
 struct Share {
-  double rate_fraction = 0;
-  double depth_fraction = 0;
+  /// Part of the requests of a window (`QuotaOf`), in [0, 1].
+  double fraction = 0;
   /// Demand on all nodes over the rate.
   double use = 0;
 };
--- a/src/include/cassiakeel/allotment/node_shares.h
+++ b/src/include/cassiakeel/allotment/node_shares.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -11,22 +12,31 @@
 
 namespace cassiakeel::allotment {
 
-/// Token bucket of one tenant at one node.
-struct Bucket {
+/// Counts the requests admitted in the last window, in slots of
+/// window / (kSlots - 1), so that the current slot and all others together
+/// cover at least a window.
+struct WindowCount {
+  static constexpr std::size_t kSlots = 64;
+  std::array<std::uint32_t, kSlots> slots{};
+  std::uint32_t total = 0;
+  /// Number of the current slot since the clock's epoch.
+  std::int64_t current = 0;
+};
+
+/// State of one tenant at one node.
+struct TenantWindow {
   Limit limit;
   Share share;
-  /// Refill in tokens per second and capacity in tokens, from limit and share.
-  double rate_per_s = 0;
-  double depth = 0;
-  /// Tokens at `updated`. For a depth below 1, a phase instead; see `Refill`.
-  double level = 0;
-  /// Random level below 1 at which the bucket started.
+  /// Requests that this node may admit per window.
+  std::uint32_t allowed = 0;
+  WindowCount admitted;
+  /// Random in [0, 1); rounds shares of less than one request so that the
+  /// fleet's sum is right.
   double phase = 0;
-  SteadyTime updated;
   /// Exponentially weighted arrivals per second at `demand_at`.
   double demand_per_s = 0;
   SteadyTime demand_at;
-  /// Time of the last token that was promised by a `retry_after`.
+  /// Time of the last place that was promised by a `retry_after`.
   SteadyTime promised;
 };
 
@@ -38,21 +48,25 @@
     SteadyTime valid_until;
   };
 
-  std::map<TenantName, Bucket> buckets;
+  std::map<TenantName, TenantWindow> tenants;
   Bounds bounds;
   /// Nodes in the directory.
   std::size_t nodes = 1;
   std::optional<HeldGrant> held;
+  /// When shares below the fallback are raised to it after a grant has expired:
+  /// until then the coordinator may have given the difference to others.
+  std::optional<SteadyTime> fallback_at;
   /// The last report.
   NodeId coordinator;
   std::uint64_t sequence = 0;
   SteadyTime reported;
-  /// Time of the last report to another coordinator; none if there was none.
-  std::optional<SteadyTime> left_other;
+  /// Time of the last report to another coordinator, or of the first report.
+  SteadyTime left_other;
 };
 
-/// Takes over the limits of a new policy. Tenants that remain keep their level,
-/// demand and share; buckets of new tenants start at a random level below 1.
+/// Takes over the limits of a new policy. Tenants that remain keep their
+/// counts, demand and share; new ones start as if their share had just been
+/// used up evenly, because an earlier process of this node may have used it.
 void SetLimits(NodeShares& shares,
                const Limits& limits,
                const Bounds& bounds,
@@ -62,8 +76,8 @@
 
 struct Admission {
   bool admitted = true;
-  /// For a refused request, the time until the bucket has a token for it, after
-  /// the tokens promised to earlier ones; 20 ms to 2 s.
+  /// For a refused request, the time until the window has a place for it, after
+  /// the places promised to earlier ones; 20 ms to 2 s.
   std::chrono::milliseconds retry_after{0};
 };
 
--- a/src/include/cassiakeel/allotment/rule.h
+++ b/src/include/cassiakeel/allotment/rule.h
@@ -15,11 +15,10 @@
 /// Part that nodes with a grant enforce for tenants whose demand they do not
 /// report, times the number of nodes. It admits the first requests of a client
 /// until the next exchange.
-inline constexpr double kIdleFraction = 0.1;
-/// Part of the tokens beyond rate x window that the bound permits and that the
-/// buckets hold. The remainder covers the times at which two coordinators count
-/// a node, and the random levels of buckets that hold less than one token.
-inline constexpr double kDepthFraction = 0.75;
+inline constexpr double kIdleFraction = 0.05;
+/// Part of the bound that is shared out. The remainder covers the random
+/// rounding of shares below one request.
+inline constexpr double kUsablePart = 0.95;
 
 /// Time between two exchanges of a node. Grows with the number of nodes so that
 /// a coordinator receives at most 600 reports per second.
@@ -29,18 +28,16 @@
 /// from the time at which its report was sent.
 std::chrono::milliseconds GrantValidity(std::size_t nodes);
 
-/// Time after its last report to another coordinator from which a node is
-/// counted by a new one. Shorter than the validity by the time that a node
-/// needs to find a new coordinator, so that its old grant has not expired when
-/// it receives a new one.
-std::chrono::milliseconds SettleTime(std::size_t nodes);
-
 /// Part of the allotments that a coordinator allocates which counts `counted`
-/// of `nodes` nodes. Coordinators that count disjoint sets of nodes, together
-/// with the fallback of nodes that none counts, allocate at most 1.
-double PoolFraction(std::size_t counted, std::size_t nodes);
-
-/// Tokens that the buckets of all nodes hold together.
-double TotalDepth(const Limit& limit, const Bounds& bounds);
+/// of `nodes` nodes, `settled` of which without interruption for longer than
+/// any grant of another coordinator has an effect. Coordinators that count
+/// disjoint sets of nodes, together with the fallback of nodes that none
+/// counts, allocate at most 1.
+double PoolFraction(std::size_t counted,
+                    std::size_t settled,
+                    std::size_t nodes);
+
+/// Requests of one window that all nodes together may admit.
+double QuotaOf(const Limit& limit, const Bounds& bounds);
 
 }  // namespace cassiakeel::allotment
--- a/src/liballotment/codec.cc
+++ b/src/liballotment/codec.cc
@@ -14,8 +14,8 @@
 constexpr double kMaxAttachedMs = 3600e3;
 constexpr std::size_t kReportFields = 5;
 constexpr std::size_t kGrantFields = 3;
-constexpr std::size_t kDemandStride = 2;
-constexpr std::size_t kShareStride = 4;
+constexpr std::size_t kDemandStride = 3;
+constexpr std::size_t kShareStride = 3;
 
 /// Stops the parser, which is recursive, at messages that are nested too
 /// deeply for the stack.
@@ -133,9 +133,10 @@
 
 std::string EncodeReport(const DemandReport& report) {
   Json tenants = Json::array();
-  for (const auto& [name, demand] : report.demand_per_s) {
+  for (const auto& [name, demand] : report.demand) {
     tenants.push_back(name.Value());
-    tenants.push_back(Rounded(demand));
+    tenants.push_back(Rounded(demand.per_s));
+    tenants.push_back(demand.used);
   }
   return ToBytes(
       Json::array({report.node.Value(), report.sequence, report.held,
@@ -154,9 +155,10 @@
         static_cast<std::int64_t>(ReadNumber(json[3], kMaxAttachedMs)));
     const Json& list = json[4];
     ForEachTenant(list, kDemandStride, [&](TenantName tenant, std::size_t i) {
-      return report.demand_per_s
-          .emplace(std::move(tenant), ReadNumber(list[i], kMaxDemandPerS))
-          .second;
+      const Demand demand{
+          ReadNumber(list[i], kMaxDemandPerS),
+          static_cast<std::uint32_t>(ReadNumber(list[i + 1], kMaxUsed))};
+      return report.demand.emplace(std::move(tenant), demand).second;
     });
     return report;
   });
@@ -166,8 +168,7 @@
   Json tenants = Json::array();
   for (const auto& [name, share] : grant.shares) {
     tenants.push_back(name.Value());
-    tenants.push_back(Rounded(share.rate_fraction));
-    tenants.push_back(Rounded(share.depth_fraction));
+    tenants.push_back(Rounded(share.fraction));
     tenants.push_back(Rounded(share.use));
   }
   return ToBytes(
@@ -182,8 +183,8 @@
     grant.counted = json[1].get<bool>();
     const Json& list = json[2];
     ForEachTenant(list, kShareStride, [&](TenantName tenant, std::size_t i) {
-      const Share share{ReadNumber(list[i], 1), ReadNumber(list[i + 1], 1),
-                        ReadNumber(list[i + 2], kMaxUse)};
+      const Share share{ReadNumber(list[i], 1),
+                        ReadNumber(list[i + 1], kMaxUse)};
       return grant.shares.emplace(std::move(tenant), share).second;
     });
     return grant;
--- a/src/liballotment/coordinator.cc
+++ b/src/liballotment/coordinator.cc
@@ -15,6 +15,8 @@
 // Sums of `kMaxDemandPerS` over `kMaxNodes` nodes stay within 64 bits.
 constexpr double kDemandUnits = 1e6;
 constexpr double kFractionUnits = 1e12;
+// Absorbs errors of rounding to whole requests.
+constexpr double kRounding = 1e-3;
 // Expired nodes are removed with this delay, which is short against the
 // validity of a grant.
 constexpr std::chrono::milliseconds kExpiryInterval{100};
@@ -24,37 +26,56 @@
 }
 
 bool IsUnused(const Account& account) {
-  return account.demand == 0 && account.rate == 0 && account.depth == 0;
+  return account.demand == 0 && account.held == 0 && account.past == 0;
 }
 
 /// Adds the account to the sum, or removes it for `sign` = -1.
 void AddAccount(Account& sum, const Account& account, int sign) {
   sum.demand += sign * account.demand;
   sum.weight += sign * account.weight;
-  sum.rate += sign * account.rate;
-  sum.depth += sign * account.depth;
+  sum.held += sign * account.held;
+  sum.past += sign * account.past;
 }
 
-void RemoveFromSums(Coordinator& coordinator, NodeRecord& record) {
-  if (!record.counted) {
-    return;
-  }
+void AddRecord(Coordinator& coordinator, const NodeRecord& record, int sign) {
   for (const auto& [name, account] : record.accounts) {
-    AddAccount(coordinator.sums[name], account, -1);
+    AddAccount(coordinator.sums[name], account, sign);
+  }
+  coordinator.counted += sign * static_cast<int>(record.counted);
+  coordinator.settled += sign * static_cast<int>(record.settled);
+}
+
+/// Takes what the node may hold as used in the last window.
+void MoveToPast(NodeRecord& record, const Bounds& bounds, SteadyTime now) {
+  for (auto& [name, account] : record.accounts) {
+    account.past += account.held;
+    account.held = 0;
+    account.granted = 0;
+    account.demand = 0;
+    account.weight = 0;
   }
+  record.past_until = now + bounds.window;
+  record.granted = 0;
   record.counted = false;
-  --coordinator.counted;
+  record.settled = false;
 }
 
-void AddToSums(Coordinator& coordinator, NodeRecord& record) {
-  for (const auto& [name, account] : record.accounts) {
-    AddAccount(coordinator.sums[name], account, 1);
+/// Forgets the past and accounts without content.
+void Tidy(NodeRecord& record, SteadyTime now) {
+  std::erase_if(record.accounts, [&](auto& entry) {
+    return IsUnused(entry.second) ||
+           (now >= record.past_until && entry.second.demand == 0 &&
+            entry.second.held == 0);
+  });
+  if (now >= record.past_until) {
+    for (auto& [name, account] : record.accounts) {
+      account.past = 0;
+    }
   }
-  record.counted = true;
-  ++coordinator.counted;
 }
 
 void ExpireNodes(Coordinator& coordinator,
+                 const Bounds& bounds,
                  std::chrono::milliseconds validity,
                  SteadyTime now) {
   if (now < coordinator.next_expiry) {
@@ -63,12 +84,16 @@
   coordinator.next_expiry = now + kExpiryInterval;
   for (auto node = coordinator.nodes.begin();
        node != coordinator.nodes.end();) {
-    if (now - node->second.reported > validity) {
-      RemoveFromSums(coordinator, node->second);
-      node = coordinator.nodes.erase(node);
-    } else {
-      ++node;
+    NodeRecord& record = node->second;
+    AddRecord(coordinator, record, -1);
+    const bool expired = now - record.reported > validity;
+    if (expired && record.counted) {
+      MoveToPast(record, bounds, now);
     }
+    Tidy(record, now);
+    AddRecord(coordinator, record, 1);
+    node = expired && record.accounts.empty() ? coordinator.nodes.erase(node)
+                                              : std::next(node);
   }
   std::erase_if(coordinator.sums,
                 [](const auto& sum) { return IsUnused(sum.second); });
@@ -82,142 +107,184 @@
   const bool confirmed = held != 0 && held == record.granted;
   for (auto& [name, account] : record.accounts) {
     if (confirmed || held == 0) {
-      account.rate = confirmed ? account.granted_rate : 0;
-      account.depth = confirmed ? account.granted_depth : 0;
+      account.held = confirmed ? account.granted : 0;
     }
     account.demand = 0;
     account.weight = 0;
   }
 }
 
+/// Part of the quota that a counted node enforces without demand.
+double IdleShare(std::size_t nodes) {
+  return kIdleFraction / static_cast<double>(std::max<std::size_t>(1, nodes));
+}
+
 void SetDemand(NodeRecord& record,
                const Limits& limits,
+               const Bounds& bounds,
+               std::size_t nodes,
                const DemandReport& report) {
-  for (const auto& [name, demand] : report.demand_per_s) {
-    // Also false for NaN.
-    if (!(demand > 0) || !limits.contains(name)) {
+  for (const auto& [name, demand] : report.demand) {
+    const auto limit = limits.find(name);
+    // The comparison is also false for NaN.
+    if (limit == limits.end() || !HasLimit(limit->second) ||
+        !(demand.per_s > 0)) {
       continue;
     }
-    const double bounded = std::min(demand, kMaxDemandPerS);
+    const double bounded = std::min(demand.per_s, kMaxDemandPerS);
+    const double used =
+        std::min(1.0, demand.used / QuotaOf(limit->second, bounds));
     Account& account = record.accounts[name];
     account.demand = ToUnits(bounded, kDemandUnits);
     account.weight = ToUnits(std::sqrt(bounded), kDemandUnits);
+    account.held = std::max(account.held,
+                            ToUnits(used - IdleShare(nodes), kFractionUnits));
   }
-  std::erase_if(record.accounts,
-                [](const auto& entry) { return IsUnused(entry.second); });
-}
-
-/// Takes what is free beyond the other nodes' holdings, but is not set below
-/// what the node holds already: the other nodes may be late in giving back.
-std::int64_t Limited(double target,
-                     double pool,
-                     std::int64_t held,
-                     std::int64_t held_by_all) {
-  const auto free = ToUnits(pool, kFractionUnits) - (held_by_all - held);
-  return std::clamp<std::int64_t>(ToUnits(target, kFractionUnits), 0,
-                                  std::max(held, free));
-}
-
-/// Shares a pool, as a fraction of the rate, among the nodes with demand. A
-/// node gets its demand and a part of the rest in proportion to the square
-/// root, or a part in proportion to its demand if the pool does not suffice.
-Share Target(const Account& node,
-             const Account& sum,
-             double pool,
-             double rate_per_s) {
+}
+
+/// Shares a pool among the nodes with demand. A node gets its demand of a
+/// window and a part of the rest in proportion to the square root, which is the
+/// deviation of random arrivals, or a part in proportion to its demand if the
+/// pool does not suffice. All as fractions of the quota.
+double Target(const Account& node,
+              const Account& sum,
+              double pool,
+              double window_per_quota) {
   const double weight =
       static_cast<double>(node.weight) /
       static_cast<double>(std::max<std::int64_t>(1, sum.weight));
   const double demand = static_cast<double>(node.demand) / kDemandUnits;
   const double total = static_cast<double>(sum.demand) / kDemandUnits;
-  const double use = total / rate_per_s;
-  const double rate = use < pool ? demand / rate_per_s + (pool - use) * weight
-                                 : pool * demand / std::max(total, demand);
-  return {rate, pool * weight, std::min(use, kMaxUse)};
+  const double rest = pool - total * window_per_quota;
+  return rest > 0 ? demand * window_per_quota + rest * weight
+                  : pool * demand / std::max(total, demand);
 }
 
+/// Part of the quota that a tenant may use with this demand over its rate. The
+/// quota is higher than the rate; a tenant that stays above its rate is reduced
+/// to the rate.
+double UsablePart(double use, double rate_part) {
+  return std::max(rate_part, std::min(1.0, 2 - use));
+}
+
+/// Sets the node's share of one tenant. It grows only by what is free beyond
+/// the other nodes' holdings, and is not set below what the node holds because
+/// others are late in giving back.
 Share GrantTenant(Account& account,
                   Account& sum,
-                  std::size_t counted,
+                  const Limit& limit,
+                  const Bounds& bounds,
+                  const Coordinator& coordinator,
                   std::size_t nodes,
-                  double rate_per_s) {
-  const auto all = static_cast<double>(std::max<std::size_t>(1, nodes));
-  const double idle = kIdleFraction / all;
+                  double rounding) {
+  const double quota = QuotaOf(limit, bounds);
+  const double window_s = std::chrono::duration<double>(bounds.window).count();
+  const double idle = IdleShare(nodes);
+  const double use =
+      static_cast<double>(sum.demand) / kDemandUnits / limit.rate_per_s;
   const double pool =
-      std::max(0.0, PoolFraction(counted, nodes) -
-                        idle * static_cast<double>(std::min(counted, nodes)));
-  Share share = Target(account, sum, pool, rate_per_s);
-  account.granted_rate =
-      Limited(share.rate_fraction, pool, account.rate, sum.rate);
-  account.granted_depth =
-      Limited(share.depth_fraction, pool, account.depth, sum.depth);
+      PoolFraction(coordinator.counted, coordinator.settled, nodes) -
+      idle * static_cast<double>(std::min(coordinator.counted, nodes)) -
+      static_cast<double>(sum.past) / kFractionUnits;
+  const double target = Target(
+      account, sum,
+      std::max(0.0,
+               pool * UsablePart(use, limit.rate_per_s * window_s / quota)),
+      window_s / quota);
+  const double own = static_cast<double>(account.held) / kFractionUnits;
+  const double others =
+      static_cast<double>(sum.held - account.held) / kFractionUnits;
+  const double limited =
+      std::min(target + rounding / quota, std::max(own, pool - others));
+  const double whole =
+      std::floor((idle + std::max(0.0, limited)) * quota + kRounding) / quota;
+  const double fraction = std::clamp(whole, idle, 1.0);
+  account.granted = ToUnits(fraction - idle, kFractionUnits);
   AddAccount(sum, account, -1);
-  account.rate = std::max(account.rate, account.granted_rate);
-  account.depth = std::max(account.depth, account.granted_depth);
+  account.held = std::max(account.held, account.granted);
   AddAccount(sum, account, 1);
-  share.rate_fraction =
-      idle + static_cast<double>(account.granted_rate) / kFractionUnits;
-  share.depth_fraction =
-      idle + static_cast<double>(account.granted_depth) / kFractionUnits;
-  return share;
-}
-
-/// A node that was counted stays so while its record lasts. Otherwise no other
-/// coordinator may count it. A coordinator that counts a minority waits until
-/// the node's old grant has expired.
-bool MayGrant(const Coordinator& coordinator,
-              const NodeRecord& record,
-              std::size_t nodes,
-              std::chrono::milliseconds attached,
-              SteadyTime now) {
-  if (now - coordinator.started < SettleTime(nodes) || !record.counted) {
-    return false;
+  return {fraction, std::min(use, kMaxUse)};
+}
+
+/// A node that was counted stays so while its record lasts: no other
+/// coordinator may count it within that time. Others must have been away from
+/// other coordinators for the validity of their grants.
+void Count(Coordinator& coordinator,
+           NodeRecord& record,
+           const Bounds& bounds,
+           std::chrono::milliseconds validity,
+           std::chrono::milliseconds attached,
+           SteadyTime now) {
+  const bool warm = now - coordinator.started >= validity;
+  record.counted = record.granted != 0 || (warm && attached >= validity);
+  record.settled = record.settled ||
+                   (record.counted && attached >= validity + bounds.window &&
+                    now - coordinator.started >= validity + bounds.window);
+}
+
+/// The record of the reporting node, taken out of the sums and prepared for the
+/// new report.
+NodeRecord& OpenRecord(Coordinator& coordinator,
+                       const Bounds& bounds,
+                       std::chrono::milliseconds validity,
+                       const DemandReport& report,
+                       SteadyTime now) {
+  NodeRecord& record = coordinator.nodes[report.node];
+  AddRecord(coordinator, record, -1);
+  const bool expired = now - record.reported > validity;
+  const bool restarted = report.sequence <= record.sequence;
+  if (restarted) {
+    const bool counted = record.counted && !expired;
+    const bool settled = record.settled && !expired;
+    MoveToPast(record, bounds, now);
+    record.counted = counted;
+    record.settled = settled;
+  } else if (expired) {
+    // The process tells itself what it used in the last window.
+    record = NodeRecord();
   }
-  return record.granted != 0 || attached >= GrantValidity(nodes) ||
-         2 * coordinator.counted > nodes;
+  record.reported = now;
+  record.sequence = report.sequence;
+  Tidy(record, now);
+  ConfirmGrant(record, report.held);
+  return record;
 }
 
 }  // namespace
 
 ShareGrant Exchange(Coordinator& coordinator,
                     const Limits& limits,
+                    const Bounds& bounds,
                     std::size_t nodes,
                     const DemandReport& report,
                     SteadyTime now) {
   const auto validity = GrantValidity(nodes);
-  ExpireNodes(coordinator, validity, now);
+  ExpireNodes(coordinator, bounds, validity, now);
   ShareGrant grant;
   grant.sequence = report.sequence;
-  const auto known = coordinator.nodes.find(report.node);
-  if (known == coordinator.nodes.end() &&
-      coordinator.nodes.size() >= kMaxNodes) {
+  if (coordinator.nodes.size() >= kMaxNodes &&
+      !coordinator.nodes.contains(report.node)) {
     return grant;
   }
-  NodeRecord& record = coordinator.nodes[report.node];
-  RemoveFromSums(coordinator, record);
-  if (now - record.reported > validity) {
-    record = NodeRecord();
-  }
-  record.reported = now;
-  ConfirmGrant(record, report.held);
-  SetDemand(record, limits, report);
-  if (record.granted != 0 || report.attached >= SettleTime(nodes)) {
-    AddToSums(coordinator, record);
+  NodeRecord& record = OpenRecord(coordinator, bounds, validity, report, now);
+  Count(coordinator, record, bounds, validity, report.attached, now);
+  if (record.counted) {
+    SetDemand(record, limits, bounds, nodes, report);
   }
-  if (!MayGrant(coordinator, record, nodes, report.attached, now)) {
+  AddRecord(coordinator, record, 1);
+  if (!record.counted) {
     return grant;
   }
   grant.counted = true;
   record.granted = report.sequence;
   for (auto& [name, account] : record.accounts) {
-    account.granted_rate = 0;
-    account.granted_depth = 0;
-    const auto limit = limits.find(name);
-    if (account.demand > 0 && limit != limits.end() &&
-        HasLimit(limit->second)) {
-      grant.shares.emplace(name, GrantTenant(account, coordinator.sums[name],
-                                             coordinator.counted, nodes,
-                                             limit->second.rate_per_s));
+    account.granted = 0;
+    if (account.demand > 0) {
+      const double rounding =
+          StableUnit(report.node.Value() + "/" + name.Value());
+      grant.shares.emplace(
+          name, GrantTenant(account, coordinator.sums[name], limits.at(name),
+                            bounds, coordinator, nodes, rounding));
     }
   }
   return grant;
--- a/src/liballotment/fleet.cc
+++ b/src/liballotment/fleet.cc
@@ -165,12 +165,13 @@
 
 void Fleet::UseLimits(std::size_t index) {
   Node& node = this->nodes[index];
-  const bool is_new = node.shares.buckets.empty();
+  const bool is_new = node.shares.tenants.empty();
   SetLimits(node.shares, this->limits, this->bounds, this->directory, this->now,
             this->rng);
-  for (auto& [tenant, bucket] : node.shares.buckets) {
+  for (auto& [name, tenant] : node.shares.tenants) {
     if (is_new && this->faults.start_full) {
-      bucket.level = std::max(1.0, bucket.depth);
+      tenant.admitted = WindowCount();
+      tenant.allowed = std::max(1U, tenant.allowed);
     }
   }
 }
@@ -270,8 +271,9 @@
         this->faults.grant_whole_rate
             ? std::max<std::size_t>(1, coordinator.coordinator.counted)
             : this->directory;
-    const auto grant = Exchange(coordinator.coordinator, this->limits,
-                                directory_size, report, this->now);
+    const auto grant =
+        Exchange(coordinator.coordinator, this->limits, this->bounds,
+                 directory_size, report, this->now);
     this->Send(to, index,
                [this, index, grant, sent] { this->Apply(index, grant, sent); });
   });
@@ -280,14 +282,12 @@
 void Fleet::Apply(std::size_t index, const ShareGrant& grant, SteadyTime sent) {
   Node& node = this->nodes[index];
   node.answered = node.answered || grant.sequence == node.shares.sequence;
-  const auto old = node.shares.buckets;
+  const auto old = node.shares.tenants;
   ApplyGrant(node.shares, grant, sent, this->now);
-  for (auto& [tenant, bucket] : node.shares.buckets) {
-    const auto before = old.find(tenant);
+  for (auto& [name, tenant] : node.shares.tenants) {
+    const auto before = old.find(name);
     if (this->faults.keep_old_share && before != old.end()) {
-      bucket.rate_per_s =
-          std::max(bucket.rate_per_s, before->second.rate_per_s);
-      bucket.depth = std::max(bucket.depth, before->second.depth);
+      tenant.allowed = std::max(tenant.allowed, before->second.allowed);
     }
   }
 }
--- a/src/liballotment/fleet_test.cc
+++ b/src/liballotment/fleet_test.cc
@@ -175,13 +175,13 @@
 
   /// The first broken bound, or empty.
   std::string Run(double length_s) {
-    constexpr double kChangesPerS = 0.6;
+    const double changes_per_s = Between(this->fleet.rng, 0.1, 0.8);
     for (double at_s = 0; at_s < length_s; at_s += kStepS) {
       this->fleet.Step();
-      if (UniformUnit(this->fleet.rng) < kChangesPerS * kStepS) {
+      if (UniformUnit(this->fleet.rng) < changes_per_s * kStepS) {
         this->ChangeTraffic();
       }
-      if (UniformUnit(this->fleet.rng) < kChangesPerS * kStepS) {
+      if (UniformUnit(this->fleet.rng) < changes_per_s * kStepS) {
         this->ChangeFleet();
       }
       for (const auto& tenant : this->traffic) {
--- a/src/liballotment/node_shares.cc
+++ b/src/liballotment/node_shares.cc
@@ -11,112 +11,155 @@
 using std::chrono::milliseconds;
 
 constexpr double kDemandTimeConstantS = 2;
+// Granted shares are whole requests; this absorbs errors of rounding.
+constexpr double kGrantRounding = 0.01;
 // Less than one request in the last 8 s.
 constexpr double kNegligibleDemandPerS = 0.01;
 // Shorter waits would only repeat the exchange of a refused request.
 constexpr milliseconds kMinRetryAfter{20};
 // Shares change within seconds, so a later time could not be kept.
 constexpr milliseconds kMaxRetryAfter{2000};
-// Stands for a node that never reported to another coordinator.
-constexpr milliseconds kAlwaysAttached{std::chrono::hours(1)};
+// Longer than any time that a coordinator asks for; bounds the message.
+constexpr milliseconds kMaxAttached{std::chrono::hours(1)};
+// Time in which a coordinator notices that a node is away and the other nodes
+// confirm smaller shares.
+constexpr milliseconds kTimeToRelease{2000};
 
 double SecondsBetween(SteadyTime from, SteadyTime to) {
   return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
 
-/// Period of a bucket of a depth below 1, in tokens; see `Refill`.
-double Period(const Bucket& bucket) {
-  return 1 / (1 - bucket.depth);
+using Window = WindowCount;
+
+SteadyTime::duration SlotLength(const Bounds& bounds) {
+  // Rounded up, so that the slots cover the window.
+  return SteadyTime::duration(bounds.window) /
+             static_cast<std::int64_t>(Window::kSlots - 1) +
+         SteadyTime::duration(1);
+}
+
+std::uint32_t& SlotAt(Window& window, std::int64_t number) {
+  return window.slots[static_cast<std::size_t>(number) % Window::kSlots];
 }
 
-/// Adds the tokens since the last call. A bucket of a depth c below 1 holds a
-/// token for a part c of the time: its level rises to 1, stays there (as values
-/// above 1) and returns to 0, with a period of 1 / (1 - c) tokens. The random
-/// level at the start sets the nodes of a fleet out of phase, so that all
-/// together hold their depths' sum.
-void Refill(Bucket& bucket, SteadyTime now) {
-  bucket.level += bucket.rate_per_s * SecondsBetween(bucket.updated, now);
-  bucket.updated = std::max(bucket.updated, now);
-  if (bucket.depth >= 1) {
-    bucket.level = std::min(bucket.level, bucket.depth);
-  } else {
-    bucket.level = std::fmod(bucket.level, Period(bucket));
+/// Forgets the slots that have left the window.
+void Advance(Window& window, const Bounds& bounds, SteadyTime now) {
+  const auto target = now.time_since_epoch() / SlotLength(bounds);
+  if (target - window.current >= static_cast<std::int64_t>(Window::kSlots)) {
+    window = Window();
+    window.current = target;
+  }
+  while (window.current < target) {
+    auto& slot = SlotAt(window, ++window.current);
+    window.total -= slot;
+    slot = 0;
   }
 }
 
-/// Sets rate and depth of the bucket. Tokens beyond the new depth are lost.
-void SetShare(Bucket& bucket, const Share& share, const Bounds& bounds) {
-  const bool held_tokens = bucket.depth >= 1;
-  bucket.share = share;
-  bucket.rate_per_s = share.rate_fraction * bucket.limit.rate_per_s;
-  bucket.depth = share.depth_fraction * TotalDepth(bucket.limit, bounds);
-  if (bucket.depth >= 1) {
-    bucket.level = std::min(bucket.level, held_tokens ? bucket.depth : 1.0);
-  } else if (!held_tokens) {
-    bucket.level = std::fmod(bucket.level, Period(bucket));
-  } else if (bucket.level >= 1) {
-    // Full buckets have equal levels; without this their phases would be equal.
-    bucket.level = bucket.phase;
+/// Time until `count` of the requests in the window have left it.
+SteadyTime::duration TimeToLeave(Window& window,
+                                 const Bounds& bounds,
+                                 std::uint32_t count,
+                                 SteadyTime now) {
+  constexpr std::int64_t kSlots = Window::kSlots;
+  std::int64_t oldest = window.current + 1 - kSlots;
+  std::uint32_t left = SlotAt(window, oldest + kSlots);
+  while (left < count && oldest < window.current) {
+    ++oldest;
+    left += SlotAt(window, oldest + kSlots);
   }
+  return (oldest + kSlots) * SlotLength(bounds) - now.time_since_epoch();
+}
+
+void SetShare(TenantWindow& tenant,
+              const Share& share,
+              const Bounds& bounds,
+              double rounding) {
+  tenant.share = share;
+  const double allowed = share.fraction * QuotaOf(tenant.limit, bounds);
+  tenant.allowed =
+      static_cast<std::uint32_t>(std::min(allowed + rounding, kMaxUsed));
 }
 
 Share EqualShare(double fraction, std::size_t nodes) {
   const double part =
       fraction / static_cast<double>(std::max<std::size_t>(1, nodes));
-  return {part, part, 0};
+  return {part, 0};
+}
+
+void UseFallback(NodeShares& shares) {
+  const Share fallback = EqualShare(kFallbackFraction, shares.nodes);
+  for (auto& [name, tenant] : shares.tenants) {
+    SetShare(tenant, fallback, shares.bounds, tenant.phase);
+  }
+  shares.fallback_at.reset();
 }
 
-/// Replaces the grant by the fallback when it has expired.
+/// When the grant has expired, reduces shares above the fallback at once and
+/// raises the others later.
 void ExpireGrant(NodeShares& shares, SteadyTime now) {
-  if (!shares.held || now < shares.held->valid_until) {
-    return;
+  if (shares.held && now >= shares.held->valid_until) {
+    const Share fallback = EqualShare(kFallbackFraction, shares.nodes);
+    for (auto& [name, tenant] : shares.tenants) {
+      const double fraction =
+          std::min(tenant.share.fraction, fallback.fraction);
+      SetShare(tenant, {fraction, 0}, shares.bounds, kGrantRounding);
+    }
+    shares.fallback_at =
+        shares.held->valid_until + shares.bounds.window + kTimeToRelease;
+    shares.held.reset();
   }
-  const Share fallback = EqualShare(kFallbackFraction, shares.nodes);
-  for (auto& [name, bucket] : shares.buckets) {
-    Refill(bucket, shares.held->valid_until);
-    SetShare(bucket, fallback, shares.bounds);
+  if (shares.fallback_at && now >= *shares.fallback_at) {
+    UseFallback(shares);
   }
-  shares.held.reset();
 }
 
-double DemandAt(const Bucket& bucket, SteadyTime now) {
-  return bucket.demand_per_s * std::exp(-SecondsBetween(bucket.demand_at, now) /
+double DemandAt(const TenantWindow& tenant, SteadyTime now) {
+  return tenant.demand_per_s * std::exp(-SecondsBetween(tenant.demand_at, now) /
                                         kDemandTimeConstantS);
 }
 
-void CountArrival(Bucket& bucket, SteadyTime now) {
-  bucket.demand_per_s = DemandAt(bucket, now) + 1 / kDemandTimeConstantS;
-  bucket.demand_at = std::max(bucket.demand_at, now);
+void CountArrival(TenantWindow& tenant, SteadyTime now) {
+  tenant.demand_per_s = DemandAt(tenant, now) + 1 / kDemandTimeConstantS;
+  tenant.demand_at = std::max(tenant.demand_at, now);
 }
 
-/// Promises the next token that has not been promised yet.
-milliseconds PromiseToken(Bucket& bucket, SteadyTime now) {
-  if (bucket.rate_per_s <= 0) {
+/// Promises the next place that has not been promised yet. Places become free
+/// at the mean rate of the window.
+milliseconds PromisePlace(TenantWindow& tenant,
+                          const Bounds& bounds,
+                          SteadyTime now) {
+  if (tenant.allowed == 0) {
     return kMaxRetryAfter;
   }
-  const auto tokens = [&bucket](double count) {
-    const double limit_s =
-        std::chrono::duration<double>(kMaxRetryAfter).count();
-    const double wait_s = std::min(limit_s, count / bucket.rate_per_s);
-    return std::chrono::duration_cast<SteadyTime::duration>(
-        std::chrono::duration<double>(wait_s));
-  };
-  const double missing = std::max(0.0, 1 - bucket.level);
-  bucket.promised =
-      std::min(std::max(now + tokens(missing), bucket.promised + tokens(1)),
-               now + SteadyTime::duration(kMaxRetryAfter));
-  return std::clamp(std::chrono::ceil<milliseconds>(bucket.promised - now),
+  const auto first =
+      now + TimeToLeave(tenant.admitted, bounds,
+                        tenant.admitted.total + 1 - tenant.allowed, now);
+  const auto next =
+      tenant.promised + SteadyTime::duration(bounds.window) / tenant.allowed;
+  tenant.promised = std::min(std::max(first, next),
+                             now + SteadyTime::duration(kMaxRetryAfter));
+  return std::clamp(std::chrono::ceil<milliseconds>(tenant.promised - now),
                     kMinRetryAfter, kMaxRetryAfter);
 }
 
-Bucket NewBucket(SteadyTime now, Rng& rng) {
-  Bucket bucket;
-  bucket.phase = UniformUnit(rng);
-  bucket.level = bucket.phase;
-  bucket.updated = now;
-  bucket.demand_at = now;
-  bucket.promised = now;
-  return bucket;
+/// Sets the window as if `allowed` requests had been admitted evenly.
+void UseUp(TenantWindow& tenant, const Bounds& bounds, SteadyTime now) {
+  Advance(tenant.admitted, bounds, now);
+  for (std::uint32_t i = 0; i < tenant.allowed; ++i) {
+    const double place = (i + tenant.phase) / tenant.allowed * Window::kSlots;
+    ++tenant.admitted.slots[static_cast<std::size_t>(place)];
+  }
+  tenant.admitted.total = tenant.allowed;
+}
+
+TenantWindow NewTenant(const Limit& limit, SteadyTime now, Rng& rng) {
+  TenantWindow tenant;
+  tenant.limit = limit;
+  tenant.phase = UniformUnit(rng);
+  tenant.demand_at = now;
+  tenant.promised = now;
+  return tenant;
 }
 
 }  // namespace
@@ -130,37 +173,45 @@
   ExpireGrant(shares, now);
   shares.bounds = bounds;
   shares.nodes = nodes;
+  const bool by_grant = shares.held || shares.fallback_at;
   const Share initial =
-      EqualShare(shares.held ? kIdleFraction : kFallbackFraction, shares.nodes);
-  std::map<TenantName, Bucket> buckets;
+      EqualShare(by_grant ? kIdleFraction : kFallbackFraction, shares.nodes);
+  std::map<TenantName, TenantWindow> tenants;
   for (const auto& [name, limit] : limits) {
     if (!HasLimit(limit)) {
       continue;
     }
-    const auto old = shares.buckets.find(name);
-    const bool known = old != shares.buckets.end();
-    Bucket bucket = known ? old->second : NewBucket(now, rng);
-    Refill(bucket, now);
-    bucket.limit = limit;
-    SetShare(bucket, known && shares.held ? bucket.share : initial, bounds);
-    buckets.emplace(name, bucket);
+    const auto old = shares.tenants.find(name);
+    if (old == shares.tenants.end()) {
+      TenantWindow tenant = NewTenant(limit, now, rng);
+      SetShare(tenant, initial, bounds, tenant.phase);
+      UseUp(tenant, bounds, now);
+      tenants.emplace(name, tenant);
+      continue;
+    }
+    TenantWindow tenant = old->second;
+    tenant.limit = limit;
+    SetShare(tenant, by_grant ? tenant.share : initial, bounds,
+             by_grant ? kGrantRounding : tenant.phase);
+    tenants.emplace(name, tenant);
   }
-  shares.buckets = std::move(buckets);
+  shares.tenants = std::move(tenants);
 }
 
-Admission Admit(NodeShares& shares, const TenantName& tenant, SteadyTime now) {
+Admission Admit(NodeShares& shares, const TenantName& name, SteadyTime now) {
   ExpireGrant(shares, now);
-  const auto found = shares.buckets.find(tenant);
-  if (found == shares.buckets.end()) {
+  const auto found = shares.tenants.find(name);
+  if (found == shares.tenants.end()) {
     return {};
   }
-  Bucket& bucket = found->second;
-  CountArrival(bucket, now);
-  Refill(bucket, now);
-  if (bucket.level < 1) {
-    return {false, PromiseToken(bucket, now)};
+  TenantWindow& tenant = found->second;
+  CountArrival(tenant, now);
+  Advance(tenant.admitted, shares.bounds, now);
+  if (tenant.admitted.total >= tenant.allowed) {
+    return {false, PromisePlace(tenant, shares.bounds, now)};
   }
-  bucket.level = bucket.depth < 1 ? 0 : bucket.level - 1;
+  ++SlotAt(tenant.admitted, tenant.admitted.current);
+  ++tenant.admitted.total;
   return {};
 }
 
@@ -169,8 +220,9 @@
                         const NodeId& coordinator,
                         SteadyTime now) {
   ExpireGrant(shares, now);
-  if (shares.sequence > 0 && coordinator != shares.coordinator) {
-    shares.left_other = shares.reported;
+  if (coordinator != shares.coordinator) {
+    // An earlier process of this node may have reported until now.
+    shares.left_other = shares.sequence > 0 ? shares.reported : now;
   }
   shares.coordinator = coordinator;
   shares.reported = now;
@@ -180,19 +232,16 @@
   report.node = self;
   report.sequence = shares.sequence;
   report.attached =
-      shares.left_other
-          ? std::clamp(
-                std::chrono::floor<milliseconds>(now - *shares.left_other),
-                milliseconds(0), kAlwaysAttached)
-          : kAlwaysAttached;
+      std::clamp(std::chrono::floor<milliseconds>(now - shares.left_other),
+                 milliseconds(0), kMaxAttached);
   if (shares.held && shares.held->coordinator == coordinator) {
     report.held = shares.held->sequence;
   }
-  for (const auto& [name, bucket] : shares.buckets) {
-    const double demand = DemandAt(bucket, now);
-    if (demand >= kNegligibleDemandPerS &&
-        report.demand_per_s.size() < kMaxTenants) {
-      report.demand_per_s.emplace(name, demand);
+  for (auto& [name, tenant] : shares.tenants) {
+    Advance(tenant.admitted, shares.bounds, now);
+    const double demand = DemandAt(tenant, now);
+    if (demand >= kNegligibleDemandPerS && report.demand.size() < kMaxTenants) {
+      report.demand[name] = {demand, tenant.admitted.total};
     }
   }
   return report;
@@ -209,20 +258,21 @@
     return;
   }
   const Share idle = EqualShare(kIdleFraction, shares.nodes);
-  for (auto& [name, bucket] : shares.buckets) {
-    Refill(bucket, now);
+  for (auto& [name, tenant] : shares.tenants) {
     const auto share = grant.shares.find(name);
-    SetShare(bucket, share == grant.shares.end() ? idle : share->second,
-             shares.bounds);
+    const bool granted = share != grant.shares.end();
+    SetShare(tenant, granted ? share->second : idle, shares.bounds,
+             granted ? kGrantRounding : tenant.phase);
   }
+  shares.fallback_at.reset();
   shares.held = {shares.coordinator, grant.sequence, valid_until};
 }
 
 double UseOf(const NodeShares& shares,
              const TenantName& tenant,
              SteadyTime now) {
-  const auto found = shares.buckets.find(tenant);
-  if (found == shares.buckets.end() || !shares.held ||
+  const auto found = shares.tenants.find(tenant);
+  if (found == shares.tenants.end() || !shares.held ||
       now >= shares.held->valid_until) {
     return 0;
   }
--- a/src/liballotment/rule.cc
+++ b/src/liballotment/rule.cc
@@ -12,8 +12,6 @@
 constexpr milliseconds kMinValidity{4000};
 // A grant outlasts a few lost exchanges.
 constexpr int kIntervalsOfValidity = 4;
-// Time for two failed exchanges and the first one with the next coordinator.
-constexpr milliseconds kTimeToMove{1500};
 
 }  // namespace
 
@@ -26,22 +24,19 @@
   return std::max(kMinValidity, kIntervalsOfValidity * ExchangeInterval(nodes));
 }
 
-milliseconds SettleTime(std::size_t nodes) {
-  return GrantValidity(nodes) - kTimeToMove;
-}
-
-double PoolFraction(std::size_t counted, std::size_t nodes) {
+double PoolFraction(std::size_t counted,
+                    std::size_t settled,
+                    std::size_t nodes) {
   const auto all = static_cast<double>(std::max<std::size_t>(1, nodes));
   const double part = std::min(1.0, static_cast<double>(counted) / all);
-  return part > 0.5 ? 1 - kFallbackFraction * (1 - part)
-                    : kFallbackFraction * part;
+  return 2 * settled > nodes ? 1 - kFallbackFraction * (1 - part)
+                             : kFallbackFraction * part;
 }
 
-double TotalDepth(const Limit& limit, const Bounds& bounds) {
+double QuotaOf(const Limit& limit, const Bounds& bounds) {
   const double window_s = std::chrono::duration<double>(bounds.window).count();
   const double quantity = limit.rate_per_s * window_s + limit.burst;
-  return kDepthFraction *
-         (limit.burst + bounds.excess * quantity + bounds.slack);
+  return kUsablePart * (quantity * (1 + bounds.excess) + bounds.slack);
 }
 
 }  // namespace cassiakeel::allotment
