Keep tenants within their allotments over all nodes

Cause: nodes admitted every request of a tenant, also far beyond its allotment. Change: AllotmentExchange of libmesh enforces this node's shares (429 with the time of the next free place), exchanges demand for shares with the coordinator and answers reports; ranks of call trees follow max-min fairness over the tenants; metrics by tenant; settings for window, excess and slack.

--- a/src/include/cassiakeel/mesh/settings.h
+++ b/src/include/cassiakeel/mesh/settings.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <string>
 
+#include "cassiakeel/allotment/limit.h"
 #include "cassiakeel/base/strong.h"
 #include "cassiakeel/mesh/call.h"
 
@@ -40,6 +41,8 @@
   std::string ready_path = "/ready";
   FieldNames fields;
   RetryBounds retry;
+  /// Precision with which tenants are kept within their allotments.
+  allotment::Bounds allotment;
   /// Time between a request to stop and the kill of the process by the
   /// deployment.
   std::chrono::milliseconds shutdown_grace{6000};
--- a/src/libmesh/dispatched_call.cc
+++ b/src/libmesh/dispatched_call.cc
@@ -70,11 +70,7 @@
                    : tenancy::EffectivePriority(
                          this->caller ? this->caller->priority : std::nullopt,
                          route.priority);
-  this->tree_rank =
-      this->parent
-          ? this->parent->tree_rank
-          : StableUnit(RootId(this->attempt_id,
-                              this->owner.settings.fields.id_separator));
+  this->tree_rank = this->TreeRank();
   if (this->owner.timers->Now() >= this->deadline) {
     this->FinishWithError(Reason::kDeadline);
     return;
@@ -95,6 +91,17 @@
   this->Attempt();
 }
 
+double Dispatcher::Call::TreeRank() const {
+  if (this->parent) {
+    return this->parent->tree_rank;
+  }
+  const double hash = StableUnit(
+      RootId(this->attempt_id, this->owner.settings.fields.id_separator));
+  return this->caller
+             ? this->owner.allotments->RankOf(this->caller->tenant, hash)
+             : hash;
+}
+
 bool Dispatcher::Call::ShedAtEntry() {
   const auto now = this->owner.timers->Now();
   const double level =
--- a/src/libmesh/dispatched_call.h
+++ b/src/libmesh/dispatched_call.h
@@ -41,6 +41,8 @@
   // True if the call that made this request was itself a retry.
   bool ParentIsRetry() const;
   void RecordFirstArrival(SteadyTime now);
+  // Shedding order among call trees of the same priority, see CallInfo.
+  double TreeRank() const;
   // Position in the shedding order, see admission::ShedPosition.
   double ShedOrderPosition() const;
   void OnResponse(ServeResult result);
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -64,6 +64,10 @@
                                  kMaxIdleConnectionsPerPeer,
                                  {kMaxResponseHeader, kMaxResponseBody},
                                  kMaxBufferedResponses})),
+      allotments(AllotmentExchange::Create(this->timers,
+                                           settings,
+                                           *this->client,
+                                           log)),
       pools(settings.node, settings.zone),
       rng(std::random_device()()) {
   this->quota.SetBounds(settings.retry, 1);
@@ -72,12 +76,14 @@
 Dispatcher::~Dispatcher() = default;
 
 void Dispatcher::SetPolicy(std::shared_ptr<const TrafficPolicy> next) {
+  this->allotments->SetPolicy(*next);
   this->policy = std::move(next);
 }
 
 void Dispatcher::SetDirectory(std::shared_ptr<const Directory> next) {
   this->quota.SetBounds(this->settings.retry, next->size());
   this->pools.Update(*next);
+  this->allotments->SetDirectory(*next);
 }
 
 void Dispatcher::Handle(std::shared_ptr<h1::Exchange> exchange,
@@ -100,16 +106,9 @@
     return;
   }
   std::optional<tenancy::Caller> caller;
-  if (!this->policy->tenants().empty()) {
-    if (!route->is_public) {
-      caller = tenancy::Authenticate(this->policy->tenants(), request.headers);
-      if (!caller) {
-        this->Reject(*exchange, this->RefuseCaller(), Reason::kUnauthenticated);
-        return;
-      }
-    }
-    tenancy::ReplaceCredential(exchange->request().headers,
-                               this->settings.fields.tenant, caller);
+  if (!this->policy->tenants().empty() &&
+      !this->AdmitCaller(*exchange, *route, caller)) {
+    return;
   }
   const auto caller_timeout = ParseMilliseconds(
       h1::FindHeader(request.headers, this->settings.fields.timeout_ms));
@@ -118,6 +117,29 @@
       ->Run(latest_end);
 }
 
+bool Dispatcher::AdmitCaller(h1::Exchange& exchange,
+                             const Route& route,
+                             std::optional<tenancy::Caller>& caller) {
+  auto& headers = exchange.request().headers;
+  if (!route.is_public) {
+    caller = tenancy::Authenticate(this->policy->tenants(), headers);
+    if (!caller) {
+      this->Reject(exchange, this->RefuseCaller(), Reason::kUnauthenticated);
+      return false;
+    }
+    const auto admission = this->allotments->Admit(caller->tenant);
+    if (!admission.admitted) {
+      this->Reject(
+          exchange,
+          {429, {{"Retry-After", FormatSeconds(admission.retry_after)}}, {}},
+          Reason::kAllotment);
+      return false;
+    }
+  }
+  tenancy::ReplaceCredential(headers, this->settings.fields.tenant, caller);
+  return true;
+}
+
 h1::Response Dispatcher::RefuseCaller() const {
   if (this->policy->version().Value() < this->newest_policy) {
     // The policy that another node already has may hold the key.
--- a/src/libmesh/dispatcher.h
+++ b/src/libmesh/dispatcher.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "allotment_exchange.h"
 #include "backend_gate.h"
 #include "cassiakeel/base/random.h"
 #include "cassiakeel/h1/client.h"
@@ -50,6 +51,7 @@
   /// Sends control state to the node at `address`, without retries: a node that
   /// does not receive it asks again.
   void SendState(const PeerAddress& address, std::string state);
+  AllotmentExchange& allotment_exchange() { return *this->allotments; }
   /// Handles a request of a client or of this machine's backend server. With
   /// `latest_end`, the end of this node, the request is refused if it may take
   /// longer, that is, if its time limit ends later.
@@ -67,6 +69,11 @@
              DecisionLog& log,
              Statistics& statistics);
 
+  // Checks the key and the allotment of a request. Returns false if it was
+  // answered; `caller` is empty for a route that needs no key.
+  bool AdmitCaller(h1::Exchange& exchange,
+                   const Route& route,
+                   std::optional<tenancy::Caller>& caller);
   // The answer to a request without a key that the policy holds.
   h1::Response RefuseCaller() const;
   // Responds to a request that is not dispatched.
@@ -79,6 +86,7 @@
   Statistics& statistics;
   std::unique_ptr<h1::Client> client;
   std::shared_ptr<const TrafficPolicy> policy;
+  std::unique_ptr<AllotmentExchange> allotments;
   ServicePools pools;
   StateVersions versions;
   std::uint64_t newest_policy = 0;
--- a/src/libmesh/metrics.cc
+++ b/src/libmesh/metrics.cc
@@ -13,6 +13,9 @@
 using prometheus::MetricFamily;
 using prometheus::MetricType;
 
+// Bounds the size of the page; far more tenants than usual.
+constexpr std::size_t kMaxTenantLabels = 100;
+
 MetricFamily Counter(const char* name, const char* help, std::uint64_t value) {
   ClientMetric metric;
   metric.counter.value = static_cast<double>(value);
@@ -60,10 +63,57 @@
   return {name, help, MetricType::Histogram, {metric}};
 }
 
+ClientMetric TenantMetric(const std::string& tenant, const char* outcome) {
+  ClientMetric metric;
+  metric.label = {{"tenant", tenant}, {"outcome", outcome}};
+  return metric;
+}
+
+// Tenants beyond kMaxTenantLabels share the label "other".
+void AddTenantFamilies(const AllotmentExchange& allotments,
+                       std::vector<MetricFamily>& families) {
+  std::map<std::string, AllotmentExchange::Count> counts;
+  for (const auto& [name, count] : allotments.counts()) {
+    auto& labelled =
+        counts[counts.size() < kMaxTenantLabels || counts.contains(name.Value())
+                   ? name.Value()
+                   : "other"];
+    labelled.admitted += count.admitted;
+    labelled.refused += count.refused;
+  }
+  MetricFamily requests{"cassiakeel_tenant_requests_total",
+                        "Requests of a tenant that began here",
+                        MetricType::Counter,
+                        {}};
+  MetricFamily shares{"cassiakeel_tenant_share",
+                      "Part of the tenant's allotment that this node enforces",
+                      MetricType::Gauge,
+                      {}};
+  for (const auto& [tenant, count] : counts) {
+    auto admitted = TenantMetric(tenant, "admitted");
+    admitted.counter.value = static_cast<double>(count.admitted);
+    auto refused = TenantMetric(tenant, "refused");
+    refused.counter.value = static_cast<double>(count.refused);
+    requests.metric.push_back(admitted);
+    requests.metric.push_back(refused);
+    const auto& held = allotments.node_shares().tenants;
+    if (const auto found = held.find(TenantName(tenant)); found != held.end()) {
+      ClientMetric share;
+      share.label = {{"tenant", tenant}};
+      share.gauge.value = found->second.share.fraction;
+      shares.metric.push_back(share);
+    }
+  }
+  families.push_back(std::move(requests));
+  families.push_back(std::move(shares));
+}
+
 }  // namespace
 
-std::string FormatMetrics(const Statistics& statistics, const Gauges& gauges) {
-  const std::vector<MetricFamily> families = {
+std::string FormatMetrics(const Statistics& statistics,
+                          const Gauges& gauges,
+                          const AllotmentExchange& allotments) {
+  std::vector<MetricFamily> families = {
       Counter("cassiakeel_requests_total", "Requests that began here",
               statistics.requests),
       Counter("cassiakeel_answered_total",
@@ -107,6 +157,9 @@
               "Log lines left out to bound their volume",
               gauges.log_lines_dropped),
   };
+  if (!allotments.counts().empty()) {
+    AddTenantFamilies(allotments, families);
+  }
   return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/libmesh/metrics.h
+++ b/src/libmesh/metrics.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "allotment_exchange.h"
 #include "statistics.h"
 
 namespace cassiakeel::mesh::pvt {
@@ -16,6 +17,8 @@
 };
 
 /// All metrics in the Prometheus text format.
-std::string FormatMetrics(const Statistics& statistics, const Gauges& gauges);
+std::string FormatMetrics(const Statistics& statistics,
+                          const Gauges& gauges,
+                          const AllotmentExchange& allotments);
 
 }  // namespace cassiakeel::mesh::pvt
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -192,7 +192,8 @@
     gauges.gate_calls = this->gate->InFlight();
     gauges.gate_limit = this->gate->CurrentLoad().limit;
     gauges.log_lines_dropped = this->log.dropped_lines();
-    return pvt::FormatMetrics(this->statistics, gauges);
+    return pvt::FormatMetrics(this->statistics, gauges,
+                              this->dispatcher->allotment_exchange());
   }
 
   pvt::BackendGate& gate_ref() { return *this->gate; }
@@ -289,6 +290,12 @@
       this->ReceiveState(*exchange);
       return;
     }
+    if (text == nullptr && request.target == pvt::kAllotmentPath) {
+      const auto grant =
+          this->dispatcher->allotment_exchange().OnReport(request.body);
+      exchange->Respond({grant ? 200 : 400, {}, grant.value_or("")});
+      return;
+    }
     const auto timeout = pvt::ParseMilliseconds(
         h1::FindHeader(request.headers, this->settings.fields.timeout_ms));
     const auto info = text == nullptr
