Test keys and allotments through real connections

Each case guards against a failure seen or reported: a key that is handed on, a tenant that the client claims, a withdrawn key that still runs, 401 for a new key at a node behind its peers, an allotment given at each node.

--- a/src/libmesh/mesh_test_support.h
+++ b/src/libmesh/mesh_test_support.h
@@ -146,9 +146,13 @@
     this->directory[entry.node] = entry;
   }
 
-  void Publish(std::vector<Route> routes) {
+  void Publish(std::vector<Route> routes,
+               std::vector<tenancy::Tenant> tenants = {},
+               PolicyVersion version = PolicyVersion(1)) {
+    auto table = tenancy::TenantTable::Create(std::move(tenants));
+    REQUIRE(table);
     const auto policy = std::make_shared<const TrafficPolicy>(
-        PolicyVersion(1), std::move(routes), InputLimits());
+        version, std::move(routes), InputLimits(), std::move(*table));
     const auto entries = std::make_shared<const Directory>(this->directory);
     for (const auto& [name, node] : this->nodes) {
       node->SetPolicy(policy);
@@ -171,7 +175,8 @@
   h1::FetchResult Call(const std::string& node,
                        const std::string& path,
                        const std::string& id,
-                       int timeout_ms = 2000) {
+                       int timeout_ms = 2000,
+                       const h1::HeaderList& more_headers = {}) {
     asio::io_context io_context;
     const auto timers = h1::TimerQueue::Create(io_context, this->clock);
     const auto client = h1::Client::Create(io_context, timers, {});
@@ -183,6 +188,8 @@
                       {"Attempt", id},
                       {"Timeout", std::to_string(timeout_ms)}},
                      {}};
+    fetch.request.headers.insert(fetch.request.headers.end(),
+                                 more_headers.begin(), more_headers.end());
     fetch.deadline = this->clock.Now() + std::chrono::milliseconds(8000);
     std::optional<h1::FetchResult> result;
     client->Start(std::move(fetch),
