--- a/src/libmesh/allotment_exchange.cc
+++ b/src/libmesh/allotment_exchange.cc
@@ -22,6 +22,15 @@
 // which the shares of a restarted node matter.
 constexpr milliseconds kFirstDelay{20};
 
+// A tenant whose demand on all nodes is below this part of its rate is refused
+// only because its clients have come to this node since the last exchange.
+constexpr double kAmpleUse = 0.9;
+// Several round trips between zones: the time in which an early exchange brings
+// such a tenant its share.
+constexpr milliseconds kEarlyRetryAfter{60};
+// Bounds the early exchanges.
+constexpr milliseconds kMinExchangeGap{100};
+
 allotment::Limits LimitsOf(const tenancy::TenantTable& table) {
   allotment::Limits limits;
   for (const auto& tenant : table.all()) {
@@ -102,6 +111,7 @@
     return;
   }
   const auto now = this->timers->Now();
+  this->exchanged_at = now;
   const auto chosen = this->Coordinator(now);
   if (chosen != this->current) {
     this->current = chosen;
@@ -182,13 +192,25 @@
 }
 
 allotment::Admission AllotmentExchange::Admit(const TenantName& tenant) {
-  const auto admission =
-      allotment::Admit(this->shares, tenant, this->timers->Now());
+  const auto now = this->timers->Now();
+  auto admission = allotment::Admit(this->shares, tenant, now);
   auto& count = this->by_tenant[tenant];
   ++(admission.admitted ? count.admitted : count.refused);
+  if (!admission.admitted &&
+      allotment::UseOf(this->shares, tenant, now) < kAmpleUse) {
+    admission.retry_after = std::min(admission.retry_after, kEarlyRetryAfter);
+    this->RequestEarlyExchange(now);
+  }
   return admission;
 }
 
+void AllotmentExchange::RequestEarlyExchange(SteadyTime now) {
+  if (this->scheduled && now - this->exchanged_at >= kMinExchangeGap) {
+    this->exchanged_at = now;
+    this->Schedule(milliseconds(0));
+  }
+}
+
 double AllotmentExchange::RankOf(const TenantName& tenant,
                                  double tree_hash) const {
   return tenancy::FairRank(
--- a/src/libmesh/allotment_exchange.h
+++ b/src/libmesh/allotment_exchange.h
@@ -62,6 +62,8 @@
   // Starts the exchange if there are limits, and ends it otherwise.
   void Schedule(std::chrono::milliseconds delay);
   void Exchange();
+  // Exchanges at once, unless that was done shortly before.
+  void RequestEarlyExchange(SteadyTime now);
   // The first node in rendezvous order that is not avoided after a failure.
   const NodeId& Coordinator(SteadyTime now) const;
   void SendReport(const NodeId& coordinator,
@@ -84,6 +86,7 @@
   std::vector<NodeId> ranked;
   std::map<NodeId, PeerAddress> addresses;
   NodeId current;
+  SteadyTime exchanged_at;
   int failures = 0;
   std::map<NodeId, SteadyTime> avoided_until;
   /// Demand-weighted mean of the use of the tenants of this node.
