Allotments: equal fallback for each node, rounding, pauses of a coordinator

Change: shares are whole requests; the fallback is 1 / nodes and replaces a smaller share only after a window; earlier processes' use stays reserved; a coordinator starts anew after a pause.

--- a/src/include/cassiakeel/allotment/coordinator.h
+++ b/src/include/cassiakeel/allotment/coordinator.h
@@ -36,7 +36,6 @@
     SteadyTime past_until;
     /// Whether the node is counted, so that its demand is part of the sums.
     bool counted = false;
-    bool settled = false;
     std::uint64_t sequence = 0;
     /// Number of the report that was answered with the last grant; 0 if none.
     std::uint64_t granted = 0;
@@ -46,9 +45,9 @@
   std::map<NodeId, NodeRecord> nodes;
   std::map<TenantName, Account> sums;
   std::size_t counted = 0;
-  std::size_t settled = 0;
-  /// First report since the coordinator had none.
+  /// First report after a time without any.
   SteadyTime started;
+  SteadyTime last_report;
   SteadyTime next_expiry;
 };
 
--- a/src/include/cassiakeel/allotment/node_shares.h
+++ b/src/include/cassiakeel/allotment/node_shares.h
@@ -27,6 +27,8 @@
 struct TenantWindow {
   Limit limit;
   Share share;
+  /// Whether the share is whole requests, as a coordinator gave it.
+  bool is_whole = false;
   /// Requests that this node may admit per window.
   std::uint32_t allowed = 0;
   WindowCount admitted;
@@ -36,6 +38,7 @@
   /// Exponentially weighted arrivals per second at `demand_at`.
   double demand_per_s = 0;
   SteadyTime demand_at;
+  SteadyTime created;
   /// Time of the last place that was promised by a `retry_after`.
   SteadyTime promised;
 };
--- a/src/include/cassiakeel/allotment/rule.h
+++ b/src/include/cassiakeel/allotment/rule.h
@@ -9,9 +9,13 @@
 /// All nodes must use the same ones.
 namespace cassiakeel::allotment {
 
-/// Part of the allotment that a node without a grant enforces, times the number
-/// of nodes.
-inline constexpr double kFallbackFraction = 0.5;
+/// Part of the quota that a node without a grant enforces, times the number of
+/// nodes. A coordinator allocates the same part for each node that it counts,
+/// so that no agreement on the coordinator is needed.
+inline constexpr double kFallbackFraction = 1;
+/// The same in the first window of a process, evenly over time: an earlier
+/// process of the node may just have used its share.
+inline constexpr double kFreshFraction = 0.4;
 /// Part that nodes with a grant enforce for tenants whose demand they do not
 /// report, times the number of nodes. It admits the first requests of a client
 /// until the next exchange.
@@ -28,14 +32,13 @@
 /// from the time at which its report was sent.
 std::chrono::milliseconds GrantValidity(std::size_t nodes);
 
-/// Part of the allotments that a coordinator allocates which counts `counted`
-/// of `nodes` nodes, `settled` of which without interruption for longer than
-/// any grant of another coordinator has an effect. Coordinators that count
-/// disjoint sets of nodes, together with the fallback of nodes that none
-/// counts, allocate at most 1.
-double PoolFraction(std::size_t counted,
-                    std::size_t settled,
-                    std::size_t nodes);
+/// Part of the quota of each of `nodes` nodes that share `fraction` equally.
+double EqualPart(double fraction, std::size_t nodes);
+
+/// Part of the quotas that a coordinator allocates which counts `counted` of
+/// `nodes` nodes. Coordinators that count disjoint sets of nodes, together with
+/// the fallback of nodes that none counts, allocate at most 1.
+double PoolFraction(std::size_t counted, std::size_t nodes);
 
 /// Requests of one window that all nodes together may admit.
 double QuotaOf(const Limit& limit, const Bounds& bounds);
--- a/src/liballotment/coordinator.cc
+++ b/src/liballotment/coordinator.cc
@@ -15,8 +15,23 @@
 // Sums of `kMaxDemandPerS` over `kMaxNodes` nodes stay within 64 bits.
 constexpr double kDemandUnits = 1e6;
 constexpr double kFractionUnits = 1e12;
+// One request in the time constant of the demand. Without it, nodes whose
+// clients send less than one request per second lose their share between two
+// requests.
+constexpr double kWeightFloorPerS = 0.5;
+// Requests beyond its demand that a node may hold: four standard deviations of
+// random arrivals and a few for the error of the estimate. What is left over is
+// free for nodes whose demand rises and for restarted ones.
+constexpr double kHeadroomDeviations = 4;
+constexpr double kHeadroomRequests = 3;
 // Absorbs errors of rounding to whole requests.
 constexpr double kRounding = 1e-3;
+// Nodes move to another coordinator after two failed exchanges, so a shorter
+// pause leaves no report of a node that has moved.
+constexpr int kIntervalsOfPause = 2;
+// Longer than a report takes to another coordinator, so that the other one has
+// expired its record of a node before this one counts the node.
+constexpr std::chrono::milliseconds kDeliveryTime{500};
 // Expired nodes are removed with this delay, which is short against the
 // validity of a grant.
 constexpr std::chrono::milliseconds kExpiryInterval{100};
@@ -42,7 +57,6 @@
     AddAccount(coordinator.sums[name], account, sign);
   }
   coordinator.counted += sign * static_cast<int>(record.counted);
-  coordinator.settled += sign * static_cast<int>(record.settled);
 }
 
 /// Takes what the node may hold as used in the last window.
@@ -57,7 +71,6 @@
   record.past_until = now + bounds.window;
   record.granted = 0;
   record.counted = false;
-  record.settled = false;
 }
 
 /// Forgets the past and accounts without content.
@@ -97,9 +110,23 @@
   }
   std::erase_if(coordinator.sums,
                 [](const auto& sum) { return IsUnused(sum.second); });
-  if (coordinator.nodes.empty()) {
+}
+
+/// Starts anew after a time without any report: if this process was paused, the
+/// next reports may be old ones, of nodes that others count by now.
+void NoticePause(Coordinator& coordinator,
+                 const Bounds& bounds,
+                 std::chrono::milliseconds interval,
+                 SteadyTime now) {
+  if (now - coordinator.last_report > kIntervalsOfPause * interval) {
+    for (auto& [node, record] : coordinator.nodes) {
+      AddRecord(coordinator, record, -1);
+      MoveToPast(record, bounds, now);
+      AddRecord(coordinator, record, 1);
+    }
     coordinator.started = now;
   }
+  coordinator.last_report = now;
 }
 
 /// Drops what the node holds no longer, as far as its report tells.
@@ -114,11 +141,6 @@
   }
 }
 
-/// Part of the quota that a counted node enforces without demand.
-double IdleShare(std::size_t nodes) {
-  return kIdleFraction / static_cast<double>(std::max<std::size_t>(1, nodes));
-}
-
 void SetDemand(NodeRecord& record,
                const Limits& limits,
                const Bounds& bounds,
@@ -136,28 +158,37 @@
         std::min(1.0, demand.used / QuotaOf(limit->second, bounds));
     Account& account = record.accounts[name];
     account.demand = ToUnits(bounded, kDemandUnits);
-    account.weight = ToUnits(std::sqrt(bounded), kDemandUnits);
-    account.held = std::max(account.held,
-                            ToUnits(used - IdleShare(nodes), kFractionUnits));
+    account.weight =
+        ToUnits(std::sqrt(bounded + kWeightFloorPerS), kDemandUnits);
+    account.held = std::max(
+        account.held,
+        ToUnits(used - EqualPart(kIdleFraction, nodes), kFractionUnits));
   }
 }
 
 /// Shares a pool among the nodes with demand. A node gets its demand of a
-/// window and a part of the rest in proportion to the square root, which is the
-/// deviation of random arrivals, or a part in proportion to its demand if the
-/// pool does not suffice. All as fractions of the quota.
+/// window and a part of the rest in proportion to its weight, the square root
+/// of demand, which is the deviation of random arrivals, or a part in
+/// proportion to its demand if the pool does not suffice. All as fractions of
+/// the quota.
 double Target(const Account& node,
               const Account& sum,
               double pool,
-              double window_per_quota) {
+              double window_per_quota,
+              double quota) {
   const double weight =
       static_cast<double>(node.weight) /
       static_cast<double>(std::max<std::int64_t>(1, sum.weight));
   const double demand = static_cast<double>(node.demand) / kDemandUnits;
   const double total = static_cast<double>(sum.demand) / kDemandUnits;
   const double rest = pool - total * window_per_quota;
-  return rest > 0 ? demand * window_per_quota + rest * weight
-                  : pool * demand / std::max(total, demand);
+  if (rest <= 0) {
+    return pool * demand / std::max(total, demand);
+  }
+  const double requests = demand * window_per_quota * quota;
+  const double headroom =
+      kHeadroomRequests + kHeadroomDeviations * std::sqrt(requests);
+  return (requests + std::min(rest * quota * weight, headroom)) / quota;
 }
 
 /// Part of the quota that a tenant may use with this demand over its rate. The
@@ -179,18 +210,18 @@
                   double rounding) {
   const double quota = QuotaOf(limit, bounds);
   const double window_s = std::chrono::duration<double>(bounds.window).count();
-  const double idle = IdleShare(nodes);
+  const double idle = EqualPart(kIdleFraction, nodes);
   const double use =
       static_cast<double>(sum.demand) / kDemandUnits / limit.rate_per_s;
   const double pool =
-      PoolFraction(coordinator.counted, coordinator.settled, nodes) -
+      PoolFraction(coordinator.counted, nodes) -
       idle * static_cast<double>(std::min(coordinator.counted, nodes)) -
       static_cast<double>(sum.past) / kFractionUnits;
   const double target = Target(
       account, sum,
       std::max(0.0,
                pool * UsablePart(use, limit.rate_per_s * window_s / quota)),
-      window_s / quota);
+      window_s / quota, quota);
   const double own = static_cast<double>(account.held) / kFractionUnits;
   const double others =
       static_cast<double>(sum.held - account.held) / kFractionUnits;
@@ -211,15 +242,12 @@
 /// other coordinators for the validity of their grants.
 void Count(Coordinator& coordinator,
            NodeRecord& record,
-           const Bounds& bounds,
            std::chrono::milliseconds validity,
            std::chrono::milliseconds attached,
            SteadyTime now) {
-  const bool warm = now - coordinator.started >= validity;
-  record.counted = record.granted != 0 || (warm && attached >= validity);
-  record.settled = record.settled ||
-                   (record.counted && attached >= validity + bounds.window &&
-                    now - coordinator.started >= validity + bounds.window);
+  const auto wait = validity + kDeliveryTime;
+  const bool warm = now - coordinator.started >= wait;
+  record.counted = record.counted || (warm && attached >= wait);
 }
 
 /// The record of the reporting node, taken out of the sums and prepared for the
@@ -235,10 +263,8 @@
   const bool restarted = report.sequence <= record.sequence;
   if (restarted) {
     const bool counted = record.counted && !expired;
-    const bool settled = record.settled && !expired;
     MoveToPast(record, bounds, now);
     record.counted = counted;
-    record.settled = settled;
   } else if (expired) {
     // The process tells itself what it used in the last window.
     record = NodeRecord();
@@ -259,6 +285,7 @@
                     const DemandReport& report,
                     SteadyTime now) {
   const auto validity = GrantValidity(nodes);
+  NoticePause(coordinator, bounds, ExchangeInterval(nodes), now);
   ExpireNodes(coordinator, bounds, validity, now);
   ShareGrant grant;
   grant.sequence = report.sequence;
@@ -267,7 +294,7 @@
     return grant;
   }
   NodeRecord& record = OpenRecord(coordinator, bounds, validity, report, now);
-  Count(coordinator, record, bounds, validity, report.attached, now);
+  Count(coordinator, record, validity, report.attached, now);
   if (record.counted) {
     SetDemand(record, limits, bounds, nodes, report);
   }
--- a/src/liballotment/node_shares.cc
+++ b/src/liballotment/node_shares.cc
@@ -11,6 +11,8 @@
 using std::chrono::milliseconds;
 
 constexpr double kDemandTimeConstantS = 2;
+// Limits the estimate from the first arrivals of a new tenant.
+constexpr double kMinDemandAgeS = 0.5;
 // Granted shares are whole requests; this absorbs errors of rounding.
 constexpr double kGrantRounding = 0.01;
 // Less than one request in the last 8 s.
@@ -71,46 +73,58 @@
   return (oldest + kSlots) * SlotLength(bounds) - now.time_since_epoch();
 }
 
-void SetShare(TenantWindow& tenant,
-              const Share& share,
-              const Bounds& bounds,
-              double rounding) {
-  tenant.share = share;
-  const double allowed = share.fraction * QuotaOf(tenant.limit, bounds);
-  tenant.allowed =
-      static_cast<std::uint32_t>(std::min(allowed + rounding, kMaxUsed));
+/// Requests per window of a share. A share that a coordinator gave is whole;
+/// one that all nodes have is rounded at random, less three standard deviations
+/// of the fleet's sum.
+std::uint32_t ToRequests(const TenantWindow& tenant, const NodeShares& shares) {
+  const double exact =
+      tenant.share.fraction * QuotaOf(tenant.limit, shares.bounds);
+  const double rest = exact - std::floor(exact);
+  const auto nodes =
+      static_cast<double>(std::max<std::size_t>(1, shares.nodes));
+  const double rounding =
+      tenant.is_whole ? kGrantRounding
+                      : tenant.phase - 3 * std::sqrt(rest * (1 - rest) / nodes);
+  return static_cast<std::uint32_t>(
+      std::clamp(exact + rounding, 0.0, kMaxUsed));
 }
 
-Share EqualShare(double fraction, std::size_t nodes) {
-  const double part =
-      fraction / static_cast<double>(std::max<std::size_t>(1, nodes));
-  return {part, 0};
+/// Sets a share that the coordinator has rounded to whole requests.
+void SetWholeShare(TenantWindow& tenant,
+                   const Share& share,
+                   const NodeShares& shares) {
+  tenant.share = share;
+  tenant.is_whole = true;
+  tenant.allowed = ToRequests(tenant, shares);
 }
 
-void UseFallback(NodeShares& shares) {
-  const Share fallback = EqualShare(kFallbackFraction, shares.nodes);
-  for (auto& [name, tenant] : shares.tenants) {
-    SetShare(tenant, fallback, shares.bounds, tenant.phase);
-  }
-  shares.fallback_at.reset();
+/// Sets a share that all nodes have.
+void SetEqualShare(TenantWindow& tenant,
+                   double fraction_of_all,
+                   const NodeShares& shares) {
+  tenant.share = {EqualPart(fraction_of_all, shares.nodes), 0};
+  tenant.is_whole = false;
+  tenant.allowed = ToRequests(tenant, shares);
 }
 
 /// When the grant has expired, reduces shares above the fallback at once and
 /// raises the others later.
 void ExpireGrant(NodeShares& shares, SteadyTime now) {
   if (shares.held && now >= shares.held->valid_until) {
-    const Share fallback = EqualShare(kFallbackFraction, shares.nodes);
+    const double fallback = EqualPart(kFallbackFraction, shares.nodes);
     for (auto& [name, tenant] : shares.tenants) {
-      const double fraction =
-          std::min(tenant.share.fraction, fallback.fraction);
-      SetShare(tenant, {fraction, 0}, shares.bounds, kGrantRounding);
+      SetWholeShare(tenant, {std::min(tenant.share.fraction, fallback), 0},
+                    shares);
     }
     shares.fallback_at =
         shares.held->valid_until + shares.bounds.window + kTimeToRelease;
     shares.held.reset();
   }
   if (shares.fallback_at && now >= *shares.fallback_at) {
-    UseFallback(shares);
+    for (auto& [name, tenant] : shares.tenants) {
+      SetEqualShare(tenant, kFallbackFraction, shares);
+    }
+    shares.fallback_at.reset();
   }
 }
 
@@ -119,6 +133,13 @@
                                         kDemandTimeConstantS);
 }
 
+/// The demand, corrected for the time before the first arrivals were counted.
+double EstimateDemand(const TenantWindow& tenant, SteadyTime now) {
+  const double age_s =
+      std::max(kMinDemandAgeS, SecondsBetween(tenant.created, now));
+  return DemandAt(tenant, now) / (1 - std::exp(-age_s / kDemandTimeConstantS));
+}
+
 void CountArrival(TenantWindow& tenant, SteadyTime now) {
   tenant.demand_per_s = DemandAt(tenant, now) + 1 / kDemandTimeConstantS;
   tenant.demand_at = std::max(tenant.demand_at, now);
@@ -157,6 +178,7 @@
   TenantWindow tenant;
   tenant.limit = limit;
   tenant.phase = UniformUnit(rng);
+  tenant.created = now;
   tenant.demand_at = now;
   tenant.promised = now;
   return tenant;
@@ -171,11 +193,12 @@
                SteadyTime now,
                Rng& rng) {
   ExpireGrant(shares, now);
+  if (shares.sequence == 0 && shares.tenants.empty()) {
+    shares.fallback_at = now + bounds.window;
+  }
   shares.bounds = bounds;
   shares.nodes = nodes;
-  const bool by_grant = shares.held || shares.fallback_at;
-  const Share initial =
-      EqualShare(by_grant ? kIdleFraction : kFallbackFraction, shares.nodes);
+  const double initial = shares.held ? kIdleFraction : kFreshFraction;
   std::map<TenantName, TenantWindow> tenants;
   for (const auto& [name, limit] : limits) {
     if (!HasLimit(limit)) {
@@ -184,15 +207,14 @@
     const auto old = shares.tenants.find(name);
     if (old == shares.tenants.end()) {
       TenantWindow tenant = NewTenant(limit, now, rng);
-      SetShare(tenant, initial, bounds, tenant.phase);
+      SetEqualShare(tenant, initial, shares);
       UseUp(tenant, bounds, now);
       tenants.emplace(name, tenant);
       continue;
     }
     TenantWindow tenant = old->second;
     tenant.limit = limit;
-    SetShare(tenant, by_grant ? tenant.share : initial, bounds,
-             by_grant ? kGrantRounding : tenant.phase);
+    tenant.allowed = ToRequests(tenant, shares);
     tenants.emplace(name, tenant);
   }
   shares.tenants = std::move(tenants);
@@ -239,7 +261,7 @@
   }
   for (auto& [name, tenant] : shares.tenants) {
     Advance(tenant.admitted, shares.bounds, now);
-    const double demand = DemandAt(tenant, now);
+    const double demand = EstimateDemand(tenant, now);
     if (demand >= kNegligibleDemandPerS && report.demand.size() < kMaxTenants) {
       report.demand[name] = {demand, tenant.admitted.total};
     }
@@ -257,12 +279,13 @@
       now >= valid_until) {
     return;
   }
-  const Share idle = EqualShare(kIdleFraction, shares.nodes);
   for (auto& [name, tenant] : shares.tenants) {
     const auto share = grant.shares.find(name);
-    const bool granted = share != grant.shares.end();
-    SetShare(tenant, granted ? share->second : idle, shares.bounds,
-             granted ? kGrantRounding : tenant.phase);
+    if (share == grant.shares.end()) {
+      SetEqualShare(tenant, kIdleFraction, shares);
+    } else {
+      SetWholeShare(tenant, share->second, shares);
+    }
   }
   shares.fallback_at.reset();
   shares.held = {shares.coordinator, grant.sequence, valid_until};
--- a/src/liballotment/rule.cc
+++ b/src/liballotment/rule.cc
@@ -24,13 +24,13 @@
   return std::max(kMinValidity, kIntervalsOfValidity * ExchangeInterval(nodes));
 }
 
-double PoolFraction(std::size_t counted,
-                    std::size_t settled,
-                    std::size_t nodes) {
-  const auto all = static_cast<double>(std::max<std::size_t>(1, nodes));
-  const double part = std::min(1.0, static_cast<double>(counted) / all);
-  return 2 * settled > nodes ? 1 - kFallbackFraction * (1 - part)
-                             : kFallbackFraction * part;
+double EqualPart(double fraction, std::size_t nodes) {
+  return fraction / static_cast<double>(std::max<std::size_t>(1, nodes));
+}
+
+double PoolFraction(std::size_t counted, std::size_t nodes) {
+  return std::min(kFallbackFraction, static_cast<double>(counted) *
+                                         EqualPart(kFallbackFraction, nodes));
 }
 
 double QuotaOf(const Limit& limit, const Bounds& bounds) {
