--- a/src/include/cassiakeel/mesh/settings.h
+++ b/src/include/cassiakeel/mesh/settings.h
@@ -40,6 +40,9 @@
   std::string ready_path = "/ready";
   FieldNames fields;
   RetryBounds retry;
+  /// Cost of sending a call to another availability zone, as the latency that
+  /// it must save to be worth it. 0: placement by expected time alone.
+  std::chrono::milliseconds zone_crossing_cost{0};
   /// Time between a request to stop and the kill of the process by the
   /// deployment.
   std::chrono::milliseconds shutdown_grace{6000};
--- a/src/include/cassiakeel/routing/selection.h
+++ b/src/include/cassiakeel/routing/selection.h
@@ -141,6 +141,10 @@
   bool single_attempt = false;
   /// Nodes already tried for this request.
   std::span<const NodeId> tried;
+  /// Only endpoints of this zone are candidates; null for all zones.
+  const ZoneName* zone = nullptr;
+  /// Latency objective of the call, 0 where unknown. Used by `SelectWithZones`.
+  std::chrono::nanoseconds target_latency{0};
 };
 
 struct Selection {
--- a/src/libmesh/dispatched_call.cc
+++ b/src/libmesh/dispatched_call.cc
@@ -104,11 +104,12 @@
 void Dispatcher::Call::Attempt() {
   const auto now = this->owner.timers->Now();
   auto& pool = this->owner.pools.PoolFor(this->service);
-  const routing::SelectionRequest request{RequestClass::kCritical,
-                                          WorkLength::kShort, this->kind,
-                                          !this->route.idempotent, this->tried};
-  const auto selection =
-      routing::SelectEndpoint(pool, request, now, this->owner.rng);
+  routing::SelectionRequest request{RequestClass::kCritical, WorkLength::kShort,
+                                    this->kind, !this->route.idempotent,
+                                    this->tried};
+  request.target_latency = this->route.target_latency;
+  const auto selection = this->owner.pools.Select(this->service, request, now,
+                                                  this->owner.rng);
   if (!selection.endpoint) {
     this->FinishWithError(selection.reason);
     return;
@@ -133,6 +134,11 @@
   this->node = endpoint.node;
   this->sent_at = now;
   routing::OnDispatch(pool, this->node, now);
+  if (this->owner.settings.zone_crossing_cost.count() > 0) {
+    auto& counts = this->owner.statistics.zone_calls[this->service];
+    ++(endpoint.zone == this->owner.settings.zone ? counts.stayed
+                                                  : counts.left);
+  }
   CallInfo info{this->service,
                 this->owner.settings.service,
                 this->route.name.Value(),
--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -62,7 +62,7 @@
                                  kMaxIdleConnectionsPerPeer,
                                  {kMaxResponseHeader, kMaxResponseBody},
                                  kMaxBufferedResponses})),
-      pools(settings.node, settings.zone),
+      pools(settings),
       rng(std::random_device()()) {
   this->quota.SetBounds(settings.retry, 1);
 }
--- a/src/libmesh/metrics.cc
+++ b/src/libmesh/metrics.cc
@@ -4,6 +4,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <limits>
+#include <utility>
 #include <vector>
 
 namespace cassiakeel::mesh::pvt {
@@ -43,6 +44,23 @@
   return family;
 }
 
+MetricFamily ZoneCounter(const std::map<ServiceName, ZoneCalls>& calls) {
+  MetricFamily family{"cassiakeel_zone_calls_total",
+                      "Calls sent within and out of the availability zone",
+                      MetricType::Counter,
+                      {}};
+  for (const auto& [service, counts] : calls) {
+    for (const auto& [zone, value] :
+         {std::pair("own", counts.stayed), std::pair("other", counts.left)}) {
+      ClientMetric metric;
+      metric.label = {{"service", service.Value()}, {"zone", zone}};
+      metric.counter.value = static_cast<double>(value);
+      family.metric.push_back(metric);
+    }
+  }
+  return family;
+}
+
 MetricFamily Histogram(const char* name,
                        const char* help,
                        const LatencyBuckets& buckets) {
@@ -63,7 +81,7 @@
 }  // namespace
 
 std::string FormatMetrics(const Statistics& statistics, const Gauges& gauges) {
-  const std::vector<MetricFamily> families = {
+  std::vector<MetricFamily> families = {
       Counter("cassiakeel_requests_total", "Requests that began here",
               statistics.requests),
       Counter("cassiakeel_answered_total",
@@ -107,6 +125,9 @@
               "Log lines left out to bound their volume",
               gauges.log_lines_dropped),
   };
+  if (!statistics.zone_calls.empty()) {
+    families.push_back(ZoneCounter(statistics.zone_calls));
+  }
   return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/libmesh/service_pools.cc
+++ b/src/libmesh/service_pools.cc
@@ -1,5 +1,6 @@
 #include "service_pools.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -20,10 +21,11 @@
 
 }  // namespace
 
-ServicePools::ServicePools(NodeId self, ZoneName zone)
-    : self(std::move(self)), zone(std::move(zone)) {}
+ServicePools::ServicePools(const MeshSettings& settings)
+    : settings(settings) {}
 
 void ServicePools::Update(const Directory& directory) {
+  this->nodes = std::max<std::size_t>(1, directory.size());
   std::unordered_map<ServiceName, std::vector<routing::Endpoint>> by_service;
   for (const auto& [node, entry] : directory) {
     by_service[entry.service].push_back(
@@ -45,12 +47,28 @@
     return found->second;
   }
   auto& pool = this->pools[service];
-  pool.self = this->self;
-  pool.distance[this->zone] = kOwnZoneDistance;
+  pool.self = this->settings.node;
+  pool.distance[this->settings.zone] = kOwnZoneDistance;
   pool.default_distance = kOtherZoneDistance;
   pool.leaving_exclusion_time = kLeavingAvoidTime;
   pool.max_ejection_time = kMaxEjection;
   return pool;
 }
 
+routing::Selection ServicePools::Select(
+    const ServiceName& service,
+    const routing::SelectionRequest& request,
+    SteadyTime now,
+    Rng& rng) {
+  auto& pool = this->PoolFor(service);
+  if (this->settings.zone_crossing_cost.count() == 0) {
+    return routing::SelectEndpoint(pool, request, now, rng);
+  }
+  auto& overflow = this->overflows[service];
+  overflow.home = this->settings.zone;
+  overflow.crossing_cost = this->settings.zone_crossing_cost;
+  overflow.callers = this->nodes;
+  return routing::SelectWithZones(overflow, pool, request, now, rng);
+}
+
 }  // namespace cassiakeel::mesh::pvt
--- a/src/libmesh/statistics.h
+++ b/src/libmesh/statistics.h
@@ -2,9 +2,11 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "cassiakeel/base/outcome.h"
+#include "cassiakeel/base/strong.h"
 
 namespace cassiakeel::mesh::pvt {
 
@@ -28,6 +30,12 @@
   }
 };
 
+/// Calls of one service by where they were sent.
+struct ZoneCalls {
+  std::uint64_t stayed = 0;
+  std::uint64_t left = 0;
+};
+
 /// Counters since the start of the process. Used on the traffic thread only.
 struct Statistics {
   std::uint64_t requests = 0;
@@ -40,6 +48,8 @@
   /// Calls refused by the gate and requests that failed, by reason.
   std::array<std::uint64_t, kReasonCount> gate_refusals{};
   std::array<std::uint64_t, kReasonCount> failures{};
+  /// Calls within and out of the availability zone, only with a crossing cost.
+  std::map<ServiceName, ZoneCalls> zone_calls;
   LatencyBuckets request_latency;
   LatencyBuckets service_time;
 };
--- a/src/librouting/selection.cc
+++ b/src/librouting/selection.cc
@@ -144,6 +144,12 @@
          tried.end();
 }
 
+bool OutsideZone(const Pool& pool,
+                 std::size_t index,
+                 const SelectionRequest& request) {
+  return request.zone != nullptr && pool.endpoints[index].zone != *request.zone;
+}
+
 // Whether this call is to probe the endpoint. An ejected endpoint gets one call
 // after its ejection time, which shows whether it has recovered. A critical
 // call is used only if there was no other one for `kCriticalProbeDelay`.
@@ -217,7 +223,8 @@
                                   : kCandidates);
     for (const auto index : tier) {
       const auto& stats = pool.stats[index];
-      if (pvt::IsLeaving(pool, index, now) ||
+      if (OutsideZone(pool, index, request) ||
+          pvt::IsLeaving(pool, index, now) ||
           WasTried(pool, index, request.tried)) {
         continue;
       }
