--- a/src/librouting/zone_overflow.cc
+++ b/src/librouting/zone_overflow.cc
@@ -18,10 +18,12 @@
 constexpr milliseconds kUpdateInterval{100};
 // Older load reports are not used. At a node that calls a service every few
 // seconds the reports are up to 3 s old.
-constexpr std::chrono::seconds kMaxReportAge{4};
-// Utilization assumed for an endpoint without a recent report: neither a reason
-// to leave the zone nor much room for calls from others.
-constexpr double kUnknownUtilization = 0.6;
+constexpr std::chrono::seconds kMaxReportAge{10};
+// Utilization assumed for a zone without a recent report, and age of such a
+// report in seconds: neither a reason to leave the zone nor much room for calls
+// of others.
+constexpr double kUnknownUtilization = 0.5;
+constexpr double kUnknownAge = 3;
 // Limit assumed for an endpoint that has never reported, as in the selection.
 constexpr double kUnknownLimit = 16;
 // Bounds the logarithm for an idle zone.
@@ -39,7 +41,7 @@
 constexpr double kMaxStep = 0.3;
 // Allowances shrink faster than they grow, for the demand of the other zone's
 // own callers.
-constexpr double kShrinkFactor = 2;
+constexpr double kShrinkFactor = 3;
 // Bounds the excess, which is a logarithm, so that one update changes the
 // staying share by at most a factor of exp(kMaxStep x kMaxExcess).
 constexpr double kMaxExcess = 1;
@@ -47,13 +49,13 @@
 // Utilization of the home zone above which calls leave it, with a crossing that
 // costs nothing and with one that costs much more than the call itself. Some
 // servers slow down when more than 0.95 of their slots are in use.
-constexpr double kMinTargetUtilization = 0.8;
+constexpr double kMinTargetUtilization = 0.75;
 constexpr double kMaxTargetUtilization = 0.95;
 // Hysteresis: the share falls below this part of the target utilization.
 constexpr double kReleaseFactor = 0.9;
 // Between release and target, the share falls with this part of the gain, so
 // that the shares of nodes with different histories approach each other.
-constexpr double kHoldLeak = 0.05;
+constexpr double kHoldLeak = 0.25;
 // Keeps some calls in the zone, whose responses show its state.
 constexpr double kMaxShare = 0.95;
 
@@ -62,8 +64,12 @@
 // as it stays below the home zone's by the margin. The margin prevents circular
 // traffic: calls leave only for zones with a lower utilization.
 constexpr double kFreeFill = 0.7;
-constexpr double kMaxFill = 0.9;
+constexpr double kMaxFill = 0.8;
 constexpr double kFillMargin = 0.1;
+// The fill is lowered by this part per second of the age of the reports. The
+// demand of a zone may change by half within 13 s, and an allowance acts until
+// the next report, that is, for twice the age.
+constexpr double kDemandChangePerS = 2 * 0.5 / 13;
 
 double Utilization(const ZoneLoad& zone) {
   return zone.reported_limit > 0 ? zone.reported_calls / zone.reported_limit
@@ -107,8 +113,14 @@
       zone.relative_time /= zone.usable;
     }
     zone.age_s = zone.reported_limit > 0 ? zone.age_s / zone.reported_limit
-                                         : Seconds(kMaxReportAge).count();
+                                         : kUnknownAge;
   }
+  // Calls that are sent only to some endpoints of the home zone, such as the
+  // fastest, do not show that the others are full.
+  auto& home = overflow.zones[overflow.home];
+  home.reported_calls +=
+      (home.limit - home.reported_limit) * kUnknownUtilization;
+  home.reported_limit = home.limit;
 }
 
 // Step of a controller for an update interval of `elapsed_s`. The delay is the
@@ -169,7 +181,8 @@
                      double used,
                      double step) {
   const double fill =
-      std::clamp(home_utilization - kFillMargin, kFreeFill, kMaxFill);
+      std::clamp(home_utilization - kFillMargin, kFreeFill, kMaxFill) /
+      (1 + kDemandChangePerS * zone.age_s);
   const double utilization = std::max(Utilization(zone), kMinUtilization);
   const double excess =
       zone.usable > 0 ? std::log(utilization / fill) : kMaxExcess;
@@ -179,8 +192,8 @@
   }
   const double room = (fill - utilization) * zone.limit;
   const double share_of_room =
-      room / static_cast<double>(overflow.callers) /
-      std::max(overflow.calls_in_flight, kMinCallsInFlight);
+      std::min(1.0, room / static_cast<double>(overflow.callers) /
+                        std::max(overflow.calls_in_flight, kMinCallsInFlight));
   zone.allowance += step * std::max(share_of_room,
                                     zone.allowance *
                                         std::min(-excess, kMaxExcess));
@@ -188,7 +201,7 @@
   // the room.
   zone.allowance -=
       step * std::max(0.0, zone.allowance - used - share_of_room);
-  zone.allowance = std::min(zone.allowance, 1.0);
+  zone.allowance = std::clamp(zone.allowance, share_of_room, 1.0);
 }
 
 void AdjustAllowances(ZoneOverflow& overflow,
