--- a/src/include/cassiakeel/routing/selection.h
+++ b/src/include/cassiakeel/routing/selection.h
@@ -141,7 +141,8 @@
   bool single_attempt = false;
   /// Nodes already tried for this request.
   std::span<const NodeId> tried;
-  /// Only endpoints of this zone are candidates; null for all zones.
+  /// Only endpoints of this zone are candidates, and ejected or suspected ones
+  /// are not used; null for all zones.
   const ZoneName* zone = nullptr;
   /// Latency objective of the call, 0 where unknown. Used by `SelectWithZones`.
   std::chrono::nanoseconds target_latency{0};
--- a/src/librouting/selection.cc
+++ b/src/librouting/selection.cc
@@ -248,7 +248,9 @@
   if (any_candidate) {
     return {std::nullopt, Reason::kOverload};
   }
-  consider(last_resort);
+  if (request.zone == nullptr) {
+    consider(last_resort);
+  }
   return {best, best ? Reason::kNone : Reason::kNoEndpoint};
 }
 
--- a/src/librouting/zone_overflow.cc
+++ b/src/librouting/zone_overflow.cc
@@ -33,9 +33,10 @@
 constexpr double kMinUtilization = 1e-3;
 // Bounds the share of the room of a node that calls rarely.
 constexpr double kMinCallsInFlight = 0.1;
-// Weight of a call in the averages over calls, and of an update in the average
-// of the calls in flight.
+// Weight of a call in the averages over calls.
 constexpr double kCallsWeight = 0.02;
+// Weight of an update in the average of the calls in flight, over about 1 s.
+constexpr double kInFlightWeight = 0.1;
 
 // Gain of the controllers in 1 / delay. With pure delay, the controllers do not
 // overshoot up to 1 / e and are stable up to pi / 2, see the design note.
@@ -192,8 +193,11 @@
       std::clamp(home_utilization - kFillMargin, kFreeFill, kMaxFill) /
       (1 + kDemandChangePerS * zone.age_s);
   const double utilization = std::max(Utilization(zone), kMinUtilization);
-  const double excess =
-      zone.usable > 0 ? std::log(utilization / fill) : kMaxExcess;
+  const double excess = std::log(utilization / fill);
+  if (zone.usable == 0) {
+    zone.allowance = 0;
+    return;
+  }
   if (excess >= 0) {
     zone.allowance *= 1 - step * kShrinkFactor * std::min(excess, kMaxExcess);
     return;
@@ -241,7 +245,7 @@
     in_flight += stats.in_flight;
   }
   overflow.calls_in_flight +=
-      (in_flight - overflow.calls_in_flight) * kCallsWeight;
+      (in_flight - overflow.calls_in_flight) * kInFlightWeight;
   const auto& home = overflow.zones[overflow.home];
   if (home.usable == 0) {
     // When servers return, the zone gets its calls back step by step.
@@ -387,7 +391,7 @@
   if (selection.endpoint || in_zone.zone == nullptr) {
     return selection;
   }
-  // All endpoints of the zone were tried or shed the call.
+  // All usable endpoints of the zone were tried or shed the call.
   return SelectEndpoint(pool, request, now, rng);
 }
 
--- a/src/librouting/zone_overflow_test.cc
+++ b/src/librouting/zone_overflow_test.cc
@@ -366,6 +366,26 @@
   }
 }
 
+// Guards against a repeated call that is sent to an ejected server of its zone
+// while another zone has a server for it.
+TEST_CASE("a repeated call leaves the zone rather than use an ejected server") {
+  Pool pool;
+  UpdateEndpoints(pool, {{NodeId("0"), PeerAddress(), ZoneName("z0")},
+                         {NodeId("1"), PeerAddress(), ZoneName("z0")},
+                         {NodeId("2"), PeerAddress(), ZoneName("z1")}});
+  OnDispatch(pool, NodeId("0"), At(0));
+  OnFailure(pool, NodeId("0"), Reason::kConnectFailed, At(0));
+  ZoneOverflow overflow;
+  overflow.home = ZoneName("z0");
+  overflow.crossing_cost = milliseconds(40);
+  Rng rng(1);
+  CHECK(SelectWithZones(overflow, pool, {}, At(0), rng).endpoint == 1u);
+  const std::vector<NodeId> tried = {NodeId("1")};
+  SelectionRequest request;
+  request.tried = tried;
+  CHECK(SelectWithZones(overflow, pool, request, At(0), rng).endpoint == 2u);
+}
+
 // Guards against calls that stay in a zone whose servers are too slow for the
 // target, and against crossings that cost more than they save.
 TEST_CASE("calls leave slow servers if that saves more than the crossing") {
