--- a/src/librouting/zone_overflow.cc
+++ b/src/librouting/zone_overflow.cc
@@ -68,7 +68,7 @@
 // as it stays below the home zone's by the margin. The margin prevents circular
 // traffic: calls leave only for zones with a lower utilization.
 constexpr double kFreeFill = 0.65;
-constexpr double kMaxFill = 0.85;
+constexpr double kMaxFill = 0.8;
 constexpr double kFillMargin = 0.1;
 // The fill is lowered by this part per second of the age of the reports. The
 // demand of a zone may change by half within 13 s, and an allowance acts until
