--- a/src/libmesh/dispatcher.cc
+++ b/src/libmesh/dispatcher.cc
@@ -68,7 +68,7 @@
                                            settings,
                                            *this->client,
                                            log)),
-      pools(settings.node, settings.zone),
+      pools(settings),
       rng(std::random_device()()) {
   this->quota.SetBounds(settings.retry, 1);
 }
