Bound what the servers hold for their clients; close stalled ones first

Cause: responses that wait to be read were under no budget, each server had one of its own, a policy with bodies of 64 MiB raised it to 128 MiB, a body was copied three times on its way, idle connections kept the last body, and the C library kept freed blocks. Pipelined requests with immediate answers nested, with a copy of the remaining input in each frame. Large requests that do not fit get 503 with Retry-After before their body is read. Responses over the budget close connections: stalled ones first, then unfinished requests, then slow readers, the largest first. Bodies of requests are shared, not copied. Connections per address are bounded by the descriptors. A response is no longer cut off while its client reads.

--- a/src/include/cassiakeel/h1/message.h
+++ b/src/include/cassiakeel/h1/message.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "cassiakeel/h1/body.h"
 #include "cassiakeel/http/message.h"
 
 namespace cassiakeel::h1 {
@@ -17,7 +18,7 @@
   std::string method;
   std::string target;
   HeaderList headers;
-  std::string body;
+  Body body;
 };
 
 /// A complete response. When it is sent, connection and framing fields
--- a/src/include/cassiakeel/h1/server.h
+++ b/src/include/cassiakeel/h1/server.h
@@ -9,6 +9,7 @@
 
 #include "cassiakeel/base/error.h"
 #include "cassiakeel/h1/message.h"
+#include "cassiakeel/h1/server_memory.h"
 #include "cassiakeel/h1/timer_queue.h"
 
 namespace cassiakeel::h1 {
@@ -18,7 +19,8 @@
 class Exchange {
  public:
   virtual ~Exchange() = default;
-  /// The request; may be moved from.
+  /// The request; may be moved from. Its body is released when the response is
+  /// sent or the connection is closed.
   virtual Request& request() = 0;
   /// Time at which the last byte of the request arrived at this machine, as far
   /// as the operating system tells. A process that was paused reads it later.
@@ -46,26 +48,29 @@
   /// response.
   std::chrono::milliseconds stall_timeout{10000};
   std::size_t max_connections = 3000;
-  /// Memory for all requests that are being received, divided as
-  /// `ClientOptions::max_buffered_bytes`. A request beyond it gets 503.
-  std::size_t max_buffered_bytes = 64U << 20U;
 };
 
+/// Memory of a server that is created without one, in bytes.
+inline constexpr std::size_t kDefaultServerMemory = 128U << 20U;
+
 /// HTTP/1.1 server for one Asio thread. Reads complete requests, serves one at
 /// a time per connection and detects when the peer closes the connection while
 /// its request is served. Malformed, incomplete or oversized requests get 400,
-/// 408, 413 or 431. A request whose handler throws gets 500, and the exception
+/// 408, 413 or 431, and those that do not fit into the memory 503 with
+/// Retry-After. A request whose handler throws gets 500, and the exception
 /// leaves `io_context::run()`.
 class Server {
  public:
   /// Fails if the address is malformed or cannot be bound. `limits` must
-  /// outlive the server.
+  /// outlive the server. `memory` may be shared by servers of the same thread;
+  /// without it the server has its own of `kDefaultServerMemory`.
   static Result<std::unique_ptr<Server>> Create(
       asio::io_context& io_context,
       std::shared_ptr<TimerQueue> timers,
       const PeerAddress& listen,
       const ServerLimits& limits,
-      ExchangeHandler handler);
+      ExchangeHandler handler,
+      std::shared_ptr<ServerMemory> memory = nullptr);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/src/include/cassiakeel/mesh/node.h
+++ b/src/include/cassiakeel/mesh/node.h
@@ -6,6 +6,7 @@
 
 #include "cassiakeel/base/clock.h"
 #include "cassiakeel/base/error.h"
+#include "cassiakeel/h1/server_memory.h"
 #include "cassiakeel/mesh/backend.h"
 #include "cassiakeel/mesh/settings.h"
 #include "cassiakeel/mesh/traffic_policy.h"
@@ -53,6 +54,9 @@
   void RequestStop();
   /// Waits until the traffic thread has ended.
   void Join();
+  /// Counts and logs that a limit of another server of this process has closed
+  /// or refused something.
+  void RecordLimit(h1::LimitReport report);
   /// Calls `done` on the traffic thread with all metrics in the Prometheus text
   /// format.
   void CollectMetrics(std::function<void(std::string text)> done);
--- a/src/include/cassiakeel/mesh/settings.h
+++ b/src/include/cassiakeel/mesh/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 
 #include "cassiakeel/base/strong.h"
@@ -43,6 +44,9 @@
   /// Time between a request to stop and the kill of the process by the
   /// deployment.
   std::chrono::milliseconds shutdown_grace{6000};
+  /// File descriptors that the process may open; bounds the connections per
+  /// listen address.
+  std::size_t max_descriptors = 10000;
 };
 
 }  // namespace cassiakeel::mesh
--- a/src/libh1/client_connection.cc
+++ b/src/libh1/client_connection.cc
@@ -142,7 +142,6 @@
 void ClientConnection::Send() {
   auto& request = this->fetch.request;
   std::string out;
-  out.reserve(320 + request.body.size());
   out.append(request.method)
       .append(" ")
       .append(request.target)
@@ -154,13 +153,16 @@
         .append(std::to_string(request.body.size()))
         .append("\r\n");
   }
-  out.append("\r\n").append(request.body);
-  this->AllowSlowReader(out.size());
+  out.append("\r\n");
+  // An idle connection keeps nothing of its last request.
+  HeaderList().swap(request.headers);
+  OutgoingMessage message{std::move(out), std::move(request.body)};
+  this->AllowSlowReader(message.size());
   this->ResetParser();
   this->received_bytes = 0;
   this->writing = true;
   const auto self = this->shared_from_this();
-  WriteAll(this->socket, std::move(out), self,
+  WriteAll(this->socket, std::move(message), self,
            [self](asio::error_code ec) { self->OnWritten(ec); });
   // The peer may send a response without reading the whole request, so a
   // write error is reported only if the following read gets no response.
--- a/src/libh1/h1_test_support.h
+++ b/src/libh1/h1_test_support.h
@@ -41,10 +41,12 @@
     this->io_context.restart();
   }
 
-  std::unique_ptr<Server> Serve(ExchangeHandler handler) {
+  std::unique_ptr<Server> Serve(ExchangeHandler handler,
+                                std::shared_ptr<ServerMemory> memory = {}) {
     this->address = PeerAddress("127.0.0.1:" + std::to_string(FreePort()));
-    auto server = Server::Create(this->io_context, this->timers, this->address,
-                                 this->limits, std::move(handler));
+    auto server =
+        Server::Create(this->io_context, this->timers, this->address,
+                       this->limits, std::move(handler), std::move(memory));
     REQUIRE(server);
     return std::move(*server);
   }
--- a/src/libh1/parser.cc
+++ b/src/libh1/parser.cc
@@ -53,9 +53,11 @@
   this->method.clear();
   this->target.clear();
   this->status = 0;
-  this->headers.clear();
-  this->body.clear();
+  // Releases their memory, which `clear` does not.
+  HeaderList().swap(this->headers);
+  std::string().swap(this->body);
   this->header_bytes = 0;
+  this->declared_bytes = 0;
   this->raw_head_bytes = 0;
   this->in_value = false;
   this->has_started = false;
@@ -162,8 +164,10 @@
   raw_parser->upgrade = 0;
   if (self.kind == Kind::kRequest) {
     self.method = http_method_str(static_cast<http_method>(raw_parser->method));
-    const bool fits = raw_parser->content_length == ULLONG_MAX ||
-                      raw_parser->content_length <= self.limits.body_bytes;
+    const bool has_length = raw_parser->content_length != ULLONG_MAX;
+    const bool fits =
+        !has_length || raw_parser->content_length <= self.limits.body_bytes;
+    self.declared_bytes = has_length ? raw_parser->content_length : 0;
     if (!fits) {
       self.parse_error = ParseError::kBodyTooLarge;
       return -1;
--- a/src/libh1/parser.h
+++ b/src/libh1/parser.h
@@ -42,9 +42,12 @@
   bool keep_alive() const { return this->persistent; }
   ParseError error() const { return this->parse_error; }
   bool expects_continue() const;
+  /// Length of the body as the header gives it; 0 if it gives none.
+  std::size_t declared_body_bytes() const { return this->declared_bytes; }
   /// Memory that the parsed part of the current message holds.
   std::size_t buffered_bytes() const {
-    return this->header_bytes + this->body.size();
+    return this->header_bytes + this->body.size() +
+           this->headers.capacity() * sizeof(HeaderList::value_type);
   }
 
   std::string method;
@@ -77,6 +80,7 @@
   const MessageLimits& limits;
   http_parser raw_parser{};
   std::size_t header_bytes = 0;
+  std::size_t declared_bytes = 0;
   /// All bytes fed before the end of the head.
   std::size_t raw_head_bytes = 0;
   bool in_value = false;
--- a/src/libh1/server.cc
+++ b/src/libh1/server.cc
@@ -113,6 +113,8 @@
   void AddConnection(tcp::socket socket) {
     if (this->shared->connections.size() >=
         this->shared->limits.max_connections) {
+      this->shared->memory->Report(
+          {ServerLimit::kConnections, this->shared->listen, 0});
       return;
     }
     auto connection = std::make_shared<pvt::ServerConnection>(std::move(socket),
@@ -130,9 +132,14 @@
     std::shared_ptr<TimerQueue> timers,
     const PeerAddress& listen,
     const ServerLimits& limits,
-    ExchangeHandler handler) {
-  auto shared = std::make_shared<pvt::ServerState>(pvt::ServerState{
-      std::move(timers), limits, std::move(handler), {}, 0, {}});
+    ExchangeHandler handler,
+    std::shared_ptr<ServerMemory> memory) {
+  if (!memory) {
+    memory = ServerMemory::Create(kDefaultServerMemory);
+  }
+  auto shared = std::make_shared<pvt::ServerState>(
+      pvt::ServerState{std::move(timers), limits, std::move(handler),
+                       memory->account(), listen});
   auto impl = std::make_shared<Impl>(io_context, std::move(shared));
   if (const auto listening = impl->Listen(listen); !listening) {
     return tl::unexpected(listening.error());
--- a/src/libh1/server_connection.h
+++ b/src/libh1/server_connection.h
@@ -7,9 +7,10 @@
 #include <string>
 #include <string_view>
 
-#include "buffer_budget.h"
 #include "cassiakeel/h1/server.h"
+#include "memory_account.h"
 #include "parser.h"
+#include "socket_io.h"
 
 namespace cassiakeel::h1::pvt {
 
@@ -20,19 +21,22 @@
   std::shared_ptr<TimerQueue> timers;
   const ServerLimits& limits;
   ExchangeHandler handler;
-  std::set<std::shared_ptr<ServerConnection>> connections;
+  std::shared_ptr<MemoryAccount> memory;
+  PeerAddress listen;
+  std::set<std::shared_ptr<ServerConnection>> connections{};
   std::size_t in_progress = 0;
-  BufferBudget buffers;
   bool announce_close = false;
   bool stopped = false;
 };
 
 /// One connection of a client: reads a request, hands it to the handler, writes
 /// the response, and begins again.
-class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+class ServerConnection : public MemoryHolder,
+                         public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(asio::ip::tcp::socket socket,
                    std::shared_ptr<ServerState> shared);
+  ~ServerConnection() override;
   void Start();
   void Send(Response response, bool close);
   bool busy() const;
@@ -42,6 +46,9 @@
   void ServeOrClose();
   void Close();
 
+  ConnectionUse Use() const override;
+  void CloseForMemory(ServerLimit limit) override;
+
  private:
   class ServedExchange;
 
@@ -50,9 +57,17 @@
   void Consume(std::string_view bytes);
   void SendContinue();
   void Serve();
+  // Whether the request that is being read fits into the memory.
+  bool FitsMemory();
   void Reject(int status);
   void Write(Response response);
+  void WriteOn();
+  void WaitForWrite();
   void OnWritten(asio::error_code ec);
+  void ConsumeReadAhead();
+  // Counts moved bytes as progress, see `kProgressBytes`.
+  void RecordProgress(std::size_t bytes);
+  void UpdateCharge();
 
   /// If unread bytes remain at close, the kernel resets the connection and the
   /// peer may lose the response. So this shuts down the sending side and reads
@@ -65,12 +80,18 @@
   asio::ip::tcp::socket socket;
   std::shared_ptr<ServerState> shared;
   Parser parser;
-  BufferShare buffered;
+  /// Bytes of the request that is being read, of later ones, and of the
+  /// response that is being written.
+  MemoryCharge held;
   std::string read_ahead;
+  OutgoingMessage outgoing;
   std::shared_ptr<ServedExchange> active;
   Timer timeout;
   /// Time of the last read, at first the time of the accept.
   SteadyTime last_read;
+  SteadyTime last_progress;
+  /// Bytes moved since `last_progress`.
+  std::size_t moved_bytes = 0;
   bool has_served = false;
   bool waiting = false;
   bool writing = false;
--- a/src/libh1/socket_io.cc
+++ b/src/libh1/socket_io.cc
@@ -20,12 +20,20 @@
   ::setsockopt(fd, level, name, &value, sizeof(value));
 }
 
+// The part of head and body that has not been written.
+std::array<asio::const_buffer, 2> Unwritten(const OutgoingMessage& message) {
+  const auto head = std::min(message.written, message.head.size());
+  return {asio::buffer(message.head) + head,
+          asio::buffer(message.body.text()) + (message.written - head)};
+}
+
 }  // namespace
 
 std::string_view ReadAvailable(asio::ip::tcp::socket& socket,
-                               asio::error_code& error) {
+                               asio::error_code& error,
+                               std::size_t max_bytes) {
   thread_local std::array<char, kReadBufferBytes> buffer;
-  const auto count = socket.read_some(asio::buffer(buffer), error);
+  const auto count = socket.read_some(asio::buffer(buffer, max_bytes), error);
   return {buffer.data(), error ? 0 : count};
 }
 
@@ -61,22 +69,28 @@
             static_cast<int>(timeout.count()));
 }
 
+void WriteSome(asio::ip::tcp::socket& socket,
+               OutgoingMessage& message,
+               asio::error_code& error) {
+  message.written += socket.write_some(Unwritten(message), error);
+  if (error == asio::error::would_block) {
+    error.clear();
+  }
+}
+
 void WriteAll(asio::ip::tcp::socket& socket,
-              std::string bytes,
+              OutgoingMessage message,
               std::shared_ptr<void> owner,
               std::function<void(asio::error_code)> done) {
   asio::error_code error;
-  const auto written = socket.write_some(asio::buffer(bytes), error);
-  if (error == asio::error::would_block) {
-    error.clear();
-  }
-  if (error || written == bytes.size()) {
+  WriteSome(socket, message, error);
+  if (error || message.done()) {
     done(error);
     return;
   }
-  auto rest = std::make_shared<std::string>(std::move(bytes));
+  auto rest = std::make_shared<OutgoingMessage>(std::move(message));
   asio::async_write(
-      socket, asio::buffer(rest->data() + written, rest->size() - written),
+      socket, Unwritten(*rest),
       [rest, owner = std::move(owner), done = std::move(done)](
           asio::error_code write_error, std::size_t) { done(write_error); });
 }
--- a/src/libh1/socket_io.h
+++ b/src/libh1/socket_io.h
@@ -16,10 +16,12 @@
 /// need no memory for reading.
 inline constexpr std::size_t kReadBufferBytes = 64U << 10U;
 
-/// Reads available bytes without blocking. The view is valid until the next
-/// call on this thread. Sets `error` to `would_block` if nothing has arrived.
+/// Reads at most `max_bytes` of what is available, without blocking. The view
+/// is valid until the next call on this thread. Sets `error` to `would_block`
+/// if nothing has arrived.
 std::string_view ReadAvailable(asio::ip::tcp::socket& socket,
-                               asio::error_code& error);
+                               asio::error_code& error,
+                               std::size_t max_bytes = kReadBufferBytes);
 
 /// Time since the last bytes arrived at the socket, read or not; zero where the
 /// operating system does not tell. A process that was paused reads bytes long
@@ -38,11 +40,27 @@
 void SetDeadPeerTimeout(asio::ip::tcp::socket& socket,
                         std::chrono::milliseconds timeout);
 
-/// Writes all `bytes` and calls `done` with the result. If the socket buffer
-/// has room for them, which is the usual case, `done` is called before this
-/// returns. Holds `owner` until `done` was called.
+/// A message that is being written. The body is not copied.
+struct OutgoingMessage {
+  std::string head;
+  Body body;
+  /// Bytes of head and body that have been written.
+  std::size_t written = 0;
+
+  std::size_t size() const { return this->head.size() + this->body.size(); }
+  bool done() const { return this->written == this->size(); }
+};
+
+/// Writes what the socket takes without blocking.
+void WriteSome(asio::ip::tcp::socket& socket,
+               OutgoingMessage& message,
+               asio::error_code& error);
+
+/// Writes all of `message` and calls `done` with the result. If the socket
+/// buffer has room for it, which is the usual case, `done` is called before
+/// this returns. Holds `owner` until `done` was called.
 void WriteAll(asio::ip::tcp::socket& socket,
-              std::string bytes,
+              OutgoingMessage message,
               std::shared_ptr<void> owner,
               std::function<void(asio::error_code)> done);
 
--- a/src/libmesh/metrics.cc
+++ b/src/libmesh/metrics.cc
@@ -25,10 +25,13 @@
   return {name, help, MetricType::Gauge, {metric}};
 }
 
-MetricFamily CounterByReason(
-    const char* name,
-    const char* help,
-    const std::array<std::uint64_t, kReasonCount>& counts) {
+// One counter for each value of `Label` that has occurred.
+template <typename Label, std::size_t kCount>
+MetricFamily CounterByLabel(const char* name,
+                            const char* help,
+                            const char* label,
+                            std::string_view (*label_name)(Label),
+                            const std::array<std::uint64_t, kCount>& counts) {
   MetricFamily family{name, help, MetricType::Counter, {}};
   for (std::size_t i = 0; i < counts.size(); ++i) {
     if (counts[i] == 0) {
@@ -36,13 +39,20 @@
     }
     ClientMetric metric;
     metric.label.push_back(
-        {"reason", std::string(ReasonName(static_cast<Reason>(i)))});
+        {label, std::string(label_name(static_cast<Label>(i)))});
     metric.counter.value = static_cast<double>(counts[i]);
     family.metric.push_back(metric);
   }
   return family;
 }
 
+MetricFamily CounterByReason(
+    const char* name,
+    const char* help,
+    const std::array<std::uint64_t, kReasonCount>& counts) {
+  return CounterByLabel(name, help, "reason", &ReasonName, counts);
+}
+
 MetricFamily Histogram(const char* name,
                        const char* help,
                        const LatencyBuckets& buckets) {
@@ -89,6 +99,9 @@
       CounterByReason("cassiakeel_failures_total",
                       "Requests that ended without a backend server's response",
                       statistics.failures),
+      CounterByLabel("cassiakeel_server_limits_total",
+                     "Connections closed and requests refused by a limit",
+                     "limit", &h1::ServerLimitName, statistics.server_limits),
       Histogram("cassiakeel_request_seconds",
                 "Time from a request to its answer",
                 statistics.request_latency),
@@ -103,6 +116,9 @@
             static_cast<double>(gauges.gate_calls)),
       Gauge("cassiakeel_gate_limit", "Calls that may run at the same time",
             gauges.gate_limit),
+      Gauge("cassiakeel_server_memory_bytes",
+            "Bytes held for clients and other nodes",
+            static_cast<double>(gauges.server_memory)),
       Counter("cassiakeel_log_lines_left_out_total",
               "Log lines left out to bound their volume",
               gauges.log_lines_dropped),
--- a/src/libmesh/metrics.h
+++ b/src/libmesh/metrics.h
@@ -12,6 +12,7 @@
   std::size_t directory_size = 0;
   std::size_t gate_calls = 0;
   int gate_limit = 0;
+  std::size_t server_memory = 0;
   std::uint64_t log_lines_dropped = 0;
 };
 
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -54,6 +54,11 @@
         clock(clock),
         timers(h1::TimerQueue::Create(this->io_context, clock)),
         log(clock),
+        server_memory(
+            h1::ServerMemory::Create(pvt::kMaxServerMemory,
+                                     [this](const h1::LimitReport& report) {
+                                       this->RecordLimit(report);
+                                     })),
         gate(pvt::BackendGate::Create(this->io_context,
                                       this->timers,
                                       this->settings.fields,
@@ -66,8 +71,11 @@
                                            this->log,
                                            this->statistics)),
         work_guard(asio::make_work_guard(this->io_context)) {
-    this->client_limits.max_buffered_bytes = pvt::kMaxBufferedRequests;
-    this->peer_limits.max_buffered_bytes = pvt::kMaxBufferedRequests;
+    const auto connections = pvt::MaxConnections(settings.max_descriptors);
+    this->client_limits.max_connections = connections;
+    this->peer_limits.max_connections = connections;
+    this->ready_limits.max_connections = pvt::kMaxReadyConnections;
+    this->ready_limits.message.body_bytes = 0;
   }
 
   ~Impl() {
@@ -78,27 +86,33 @@
   Result<bool> Listen() {
     auto outbound = h1::Server::Create(
         this->io_context, this->timers, this->settings.outbound_address,
-        this->client_limits, [this](std::shared_ptr<h1::Exchange> exchange) {
+        this->client_limits,
+        [this](std::shared_ptr<h1::Exchange> exchange) {
           this->Dispatch(std::move(exchange));
-        });
+        },
+        this->server_memory);
     if (!outbound) {
       return tl::unexpected(outbound.error());
     }
     this->outbound = std::move(*outbound);
     auto inbound = h1::Server::Create(
         this->io_context, this->timers, this->settings.inbound_address,
-        this->peer_limits, [this](std::shared_ptr<h1::Exchange> exchange) {
+        this->peer_limits,
+        [this](std::shared_ptr<h1::Exchange> exchange) {
           this->Serve(std::move(exchange));
-        });
+        },
+        this->server_memory);
     if (!inbound) {
       return tl::unexpected(inbound.error());
     }
     this->inbound = std::move(*inbound);
     auto ready = h1::Server::Create(
         this->io_context, this->timers, this->settings.ready_address,
-        this->peer_limits, [this](std::shared_ptr<h1::Exchange> exchange) {
+        this->ready_limits,
+        [this](std::shared_ptr<h1::Exchange> exchange) {
           this->AnswerReadiness(*exchange);
-        });
+        },
+        this->server_memory);
     if (!ready) {
       return tl::unexpected(ready.error());
     }
@@ -136,14 +150,8 @@
     this->client_limits.message = {limits.header_bytes, limits.body_bytes};
     this->client_limits.header_timeout = limits.header_timeout;
     this->client_limits.idle_timeout = limits.idle_timeout;
-    this->client_limits.max_buffered_bytes =
-        std::max(pvt::kMaxBufferedRequests,
-                 2 * (limits.header_bytes +
-                      std::min(limits.body_bytes, pvt::kMaxRequestBody)));
     this->peer_limits.message = {limits.header_bytes + pvt::kMaxCallFieldBytes,
                                  limits.body_bytes};
-    this->peer_limits.max_buffered_bytes =
-        this->client_limits.max_buffered_bytes;
     this->dispatcher->SetPolicy(std::move(next));
   }
 
@@ -184,10 +192,22 @@
     gauges.directory_size = this->directory_size;
     gauges.gate_calls = this->gate->InFlight();
     gauges.gate_limit = this->gate->CurrentLoad().limit;
+    gauges.server_memory = this->server_memory->used_bytes();
     gauges.log_lines_dropped = this->log.dropped_lines();
     return pvt::FormatMetrics(this->statistics, gauges);
   }
 
+  void RecordLimit(const h1::LimitReport& report) {
+    const auto name = h1::ServerLimitName(report.limit);
+    ++this->statistics.server_limits[static_cast<std::size_t>(report.limit)];
+    this->log.WriteLimited(
+        "server_limit",
+        pvt::JsonString("limit", name) + "," +
+            pvt::JsonString("listen", report.listen.Value()) + "," +
+            pvt::JsonNumber("held_bytes",
+                            static_cast<std::int64_t>(report.held_bytes)));
+  }
+
   pvt::BackendGate& gate_ref() { return *this->gate; }
 
  private:
@@ -351,6 +371,8 @@
   pvt::Statistics statistics;
   h1::ServerLimits client_limits;
   h1::ServerLimits peer_limits;
+  h1::ServerLimits ready_limits;
+  std::shared_ptr<h1::ServerMemory> server_memory;
   std::unique_ptr<pvt::BackendGate> gate;
   std::unique_ptr<pvt::Dispatcher> dispatcher;
   std::unique_ptr<h1::Server> outbound;
@@ -422,6 +444,12 @@
   });
 }
 
+void MeshNode::RecordLimit(h1::LimitReport report) {
+  this->impl->Post([impl = this->impl.get(), report = std::move(report)] {
+    impl->RecordLimit(report);
+  });
+}
+
 void MeshNode::RequestStop() {
   this->impl->Post([impl = this->impl.get()] { impl->BeginStop(); });
 }
--- a/src/libmesh/statistics.h
+++ b/src/libmesh/statistics.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "cassiakeel/base/outcome.h"
+#include "cassiakeel/h1/server_memory.h"
 
 namespace cassiakeel::mesh::pvt {
 
@@ -40,6 +41,8 @@
   /// Calls refused by the gate and requests that failed, by reason.
   std::array<std::uint64_t, kReasonCount> gate_refusals{};
   std::array<std::uint64_t, kReasonCount> failures{};
+  /// Connections closed and requests refused by a limit of a server.
+  std::array<std::uint64_t, h1::kServerLimitCount> server_limits{};
   LatencyBuckets request_latency;
   LatencyBuckets service_time;
 };
