--- a/src/libh1/parser.cc
+++ b/src/libh1/parser.cc
@@ -1,5 +1,6 @@
 #include "parser.h"
 
+#include <algorithm>
 #include <climits>
 
 namespace cassiakeel::h1::pvt {
@@ -12,6 +13,20 @@
 // which counts only the target and the fields.
 constexpr std::size_t kMaxRawHeadRatio = 4;
 
+// When this much of a body has arrived, or a quarter, memory for the longest
+// possible rest is reserved. Growing by steps would hold up to twice the body
+// for a moment; reserved memory that is not written needs none.
+constexpr std::size_t kReserveFromBytes = 4U << 20U;
+
+// Reserves memory for `length` more bytes of a body of at most `longest`.
+void ReserveFor(std::string& body, std::size_t length, std::size_t longest) {
+  const auto needed = body.size() + length;
+  if (needed > body.capacity() &&
+      needed >= std::min(longest / 4, kReserveFromBytes)) {
+    body.reserve(std::max(needed, longest));
+  }
+}
+
 Parser& ParserOf(http_parser* raw_parser) {
   return *static_cast<Parser*>(raw_parser->data);
 }
@@ -186,6 +201,9 @@
     self.parse_error = ParseError::kBodyTooLarge;
     return 1;
   }
+  ReserveFor(
+      self.body, length,
+      self.declared_bytes > 0 ? self.declared_bytes : self.limits.body_bytes);
   self.body.append(at, length);
   return 0;
 }
