Test: broken-off responses and the connection limit of a server

Guards against a response that looks complete although its connection was closed for memory, and against one address taking the descriptors of the others.

--- a/src/libh1/memory_test.cc
+++ b/src/libh1/memory_test.cc
@@ -123,6 +123,47 @@
   loop.RunFor(milliseconds(100));
   CHECK(peak <= kMemory);
   CHECK(SendAndReceive(loop, "GET /small HTTP/1.1\r\n\r\n").ends_with("small"));
+  // Each response is either complete or visibly broken off.
+  int broken_off = 0;
+  for (auto& socket : sockets) {
+    socket.set_option(asio::socket_base::receive_buffer_size(512 * 1024));
+    socket.non_blocking(true);
+    std::size_t received = 0;
+    asio::error_code error;
+    loop.RunUntil(
+        [&] {
+          std::vector<char> buffer(kMiB);
+          received += socket.read_some(asio::buffer(buffer), error);
+          return received > 8 * kMiB ||
+                 (error && error != asio::error::would_block);
+        },
+        milliseconds(10000));
+    broken_off += static_cast<int>(received <= 8 * kMiB);
+  }
+  CHECK(broken_off == static_cast<int>(reports.size()));
+}
+
+// Guards against one address taking the descriptors of the others.
+TEST_CASE("connections beyond the limit are closed and reported") {
+  TestLoop loop;
+  loop.limits.max_connections = 1;
+  std::vector<ServerLimit> reports;
+  const auto memory = ServerMemory::Create(
+      kMiB,
+      [&](const LimitReport& report) { reports.push_back(report.limit); });
+  const auto server = loop.Serve(
+      [](std::shared_ptr<Exchange> exchange) {
+        exchange->Respond({200, {}, {}});
+      },
+      memory);
+  tcp::socket first(loop.io_context);
+  first.connect(EndpointOf(loop.address));
+  loop.RunUntil([&] { return server->OpenConnections() == 1; });
+  tcp::socket second(loop.io_context);
+  second.connect(EndpointOf(loop.address));
+  loop.RunUntil([&] { return !reports.empty(); });
+  CHECK(reports == std::vector<ServerLimit>{ServerLimit::kConnections});
+  CHECK(server->OpenConnections() == 1);
 }
 
 // Guards against a refusal after the request has run, and against bodies that
