--- a/src/libh1/parser.cc
+++ b/src/libh1/parser.cc
@@ -1,5 +1,6 @@
 #include "parser.h"
 
+#include <algorithm>
 #include <climits>
 
 namespace cassiakeel::h1::pvt {
@@ -12,6 +13,20 @@
 // which counts only the target and the fields.
 constexpr std::size_t kMaxRawHeadRatio = 4;
 
+// When this much of a body has arrived, or a quarter, memory for the longest
+// possible rest is reserved. Growing by steps would hold up to twice the body
+// for a moment; reserved memory that is not written needs none.
+constexpr std::size_t kReserveFromBytes = 4U << 20U;
+
+// Reserves memory for `length` more bytes of a body of at most `longest`.
+void ReserveFor(std::string& body, std::size_t length, std::size_t longest) {
+  const auto needed = body.size() + length;
+  if (needed > body.capacity() &&
+      needed >= std::min(longest / 4, kReserveFromBytes)) {
+    body.reserve(std::max(needed, longest));
+  }
+}
+
 Parser& ParserOf(http_parser* raw_parser) {
   return *static_cast<Parser*>(raw_parser->data);
 }
@@ -53,9 +68,11 @@
   this->method.clear();
   this->target.clear();
   this->status = 0;
-  this->headers.clear();
-  this->body.clear();
+  // Releases their memory, which `clear` does not.
+  HeaderList().swap(this->headers);
+  std::string().swap(this->body);
   this->header_bytes = 0;
+  this->declared_bytes = 0;
   this->raw_head_bytes = 0;
   this->in_value = false;
   this->has_started = false;
@@ -162,8 +179,10 @@
   raw_parser->upgrade = 0;
   if (self.kind == Kind::kRequest) {
     self.method = http_method_str(static_cast<http_method>(raw_parser->method));
-    const bool fits = raw_parser->content_length == ULLONG_MAX ||
-                      raw_parser->content_length <= self.limits.body_bytes;
+    const bool has_length = raw_parser->content_length != ULLONG_MAX;
+    const bool fits =
+        !has_length || raw_parser->content_length <= self.limits.body_bytes;
+    self.declared_bytes = has_length ? raw_parser->content_length : 0;
     if (!fits) {
       self.parse_error = ParseError::kBodyTooLarge;
       return -1;
@@ -182,6 +201,9 @@
     self.parse_error = ParseError::kBodyTooLarge;
     return 1;
   }
+  ReserveFor(
+      self.body, length,
+      self.declared_bytes > 0 ? self.declared_bytes : self.limits.body_bytes);
   self.body.append(at, length);
   return 0;
 }
--- a/src/libmesh/statistics.h
+++ b/src/libmesh/statistics.h
@@ -7,6 +7,7 @@
 
 #include "cassiakeel/base/outcome.h"
 #include "cassiakeel/base/strong.h"
+#include "cassiakeel/h1/server_memory.h"
 
 namespace cassiakeel::mesh::pvt {
 
@@ -50,6 +51,8 @@
   std::array<std::uint64_t, kReasonCount> failures{};
   /// Calls within and out of the availability zone, only with a crossing cost.
   std::map<ServiceName, ZoneCalls> zone_calls;
+  /// Connections closed and requests refused by a limit of a server.
+  std::array<std::uint64_t, h1::kServerLimitCount> server_limits{};
   LatencyBuckets request_latency;
   LatencyBuckets service_time;
 };
