End the soak test within a limit; keep its cancellations

Cause: asyncio.wait_for of Python 3.11 returns normally when it is cancelled just as the awaited operation ends. The loop that sends a backend server's reports, and the store's feed, then went on, and the end waited for them without a limit while nodes and listeners were still running. Change: timeouts use asyncio.timeout; nodes and listeners end before the tasks; after 10 s the remaining tasks are named and recorded as a violation.

--- a/testsuite/harness/soak.py
+++ b/testsuite/harness/soak.py
@@ -28,6 +28,9 @@
 # the last time is reset when the listening socket is closed. Its request was
 # read by no process; the users' rules allow this within this time (lossSlackMs).
 CLOSE_RACE_S = 0.2
+# Cancelled tasks end within milliseconds. A task that remains longer ignores its
+# cancellation; without a bound the run would wait for it forever.
+END_S = 10
 
 
 class InvariantChecker:
@@ -84,6 +87,24 @@
             self.record_violation("denied", f"{attempt} got status {status}")
 
 
+def describe(task):
+    """Names a task and the lines at which its coroutine is suspended."""
+    lines = ", ".join(f"{frame.f_code.co_name}:{frame.f_lineno}"
+                      for frame in task.get_stack())
+    return f"task {task.get_coro().__qualname__} at {lines}"
+
+
+def run_to_end(soak):
+    """Runs the soak and ends its nodes. In place of asyncio.run, which waits
+    without a limit for tasks that ignore their cancellation."""
+    loop = asyncio.new_event_loop()
+    try:
+        loop.run_until_complete(soak.run())
+    finally:
+        soak.stop()
+        loop.close()
+
+
 class Node:
     def __init__(self, soak, number, service):
         self.soak = soak
@@ -304,16 +325,33 @@
         await self.inject_faults()
         if not self.injected_violation:
             await self.check_recovery()
-        await self.cancel_tasks()
-
-    async def cancel_tasks(self):
-        """Cancels all tasks before the event loop closes. Their errors are ignored,
-        because requests in flight fail when they are cancelled."""
+        await self.end()
+
+    async def end(self, limit_s=END_S):
+        """Ends the nodes, the listeners and all other tasks, in this order, so that
+        no connection arrives while tasks are cancelled. Tasks that remain after
+        `limit_s` are recorded as a violation."""
+        self.stop()
+        for listener in [self.store.server] + [
+                listener for node in self.nodes
+                for listener in (node.backend.server, node.proxy, node.store_proxy)]:
+            listener.close()
+        # Requests in flight fail when they are cancelled.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        others = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in others:
-            task.cancel()
-        await asyncio.gather(*others, return_exceptions=True)
+        end = time.monotonic() + limit_s
+        cancelled = set()
+        # A connection that was accepted before its listener closed may start a task
+        # after the first cancellation.
+        while others := asyncio.all_tasks() - {asyncio.current_task()}:
+            for task in others - cancelled:
+                task.cancel()
+            cancelled |= others
+            remaining_s = end - time.monotonic()
+            if remaining_s <= 0:
+                for task in others:
+                    self.checker.record_violation("end", f"{describe(task)} remains")
+                return
+            await asyncio.wait(others, timeout=min(remaining_s, 0.1))
 
     async def check_recovery(self):
         """Checks that requests are served again after the last fault."""
@@ -348,10 +386,7 @@
         log_dir = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         soak = Soak(program, seed, options.nodes, options.seconds, log_dir,
                     options.plant)
-        try:
-            asyncio.run(soak.run())
-        finally:
-            soak.stop()
+        run_to_end(soak)
         violations_found = soak.checker.violations
         print(f"seed {seed}: {soak.counter} requests, {soak.checker.served} served, "
               f"{soak.checker.crossed_close} crossed a close, "
--- a/testsuite/harness/soak_standins.py
+++ b/testsuite/harness/soak_standins.py
@@ -1,4 +1,8 @@
-"""Stand-ins for the soak test: shared store, backend server, faulty proxy."""
+"""Stand-ins for the soak test: shared store, backend server, faulty proxy.
+
+Timeouts use asyncio.timeout: asyncio.wait_for of Python 3.11 returns normally when
+it is cancelled just as the awaited operation ends, so that a loop around it would
+not end."""
 
 import asyncio
 import base64
@@ -46,6 +50,11 @@
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
 
+    def close(self):
+        """Stops accepting connections."""
+        if self.server:
+            self.server.close()
+
 
 class Server(Listener):
     """An HTTP server. `respond(line, headers, body)` returns the response bytes,
@@ -129,8 +138,9 @@
                 return format_response(200, json.dumps(reply).encode())
             async with self.rows_changed:
                 try:
-                    await asyncio.wait_for(self.rows_changed.wait(), remaining_s)
-                except asyncio.TimeoutError:
+                    async with asyncio.timeout(remaining_s):
+                        await self.rows_changed.wait()
+                except TimeoutError:
                     pass
             if self.mode != "up":
                 return None
@@ -217,18 +227,19 @@
     whether the connection could be opened."""
     host, port = address.split(":")
     try:
-        reader, writer = await asyncio.wait_for(
-            asyncio.open_connection(host, int(port)), 1)
-    except (OSError, asyncio.TimeoutError):
+        async with asyncio.timeout(1):
+            reader, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
         return None, False
     try:
         writer.write(request)
-        message = await asyncio.wait_for(read_message(reader), timeout)
+        async with asyncio.timeout(timeout):
+            message = await read_message(reader)
         if message is None:
             return None, True
         line, headers, body = message
         return (int(line.split(" ")[1]), headers, body), True
-    except (OSError, asyncio.TimeoutError, ConnectionError):
+    except OSError:
         return None, True
     finally:
         writer.transport.abort()
