--- a/testsuite/harness/soak_standins.py
+++ b/testsuite/harness/soak_standins.py
@@ -197,6 +197,7 @@
 
     async def respond(self, line, headers, body):
         attempt = headers.get("x-attempt-id", "")
+        self.checker.on_arrival(headers)
         if headers.get("x-expect-instance") != self.instance:
             return format_response(421, fields={"X-Instance-Id": self.instance})
         self.checker.on_run(self, attempt, line, headers, body)
@@ -262,6 +263,9 @@
         self.mode = "up"
         self.writers = set()
 
+    def on_bytes(self, data, towards_client):
+        """Called with the bytes that are forwarded."""
+
     def reset_all(self):
         for writer in list(self.writers):
             writer.transport.abort()
@@ -291,6 +295,7 @@
                     continue
                 if self.mode == "delayed":
                     await asyncio.sleep(0.15)
+                self.on_bytes(data, towards_client)
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, OSError):
