--- a/testsuite/harness/soak.py
+++ b/testsuite/harness/soak.py
@@ -447,6 +447,7 @@
         parser.error(f"--plant {options.plant} needs --tenants")
     program = os.path.join(options.bin_dir, "cassiakeel-sidecar")
     failed = 0
+    ended = True
     for seed in range(options.seed, options.seed + options.seeds):
         log_dir = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         soak = Soak(program, seed, options.nodes, options.seconds, log_dir,
@@ -457,14 +458,16 @@
               f"{soak.checker.crossed_close} crossed a close, "
               f"{len(violations_found)} violations, logs in {log_dir}"
               f"{soak.tenants.summary() if soak.tenants else ''}", flush=True)
-        for line in violations_found[:10]:
+        remaining = [line for line in violations_found if line.startswith("end:")]
+        for line in violations_found[:10] + remaining:
             print(f"  {line}")
+        ended &= not remaining
         if options.plant:
             violations_found = [line for line in violations_found
                                 if line.startswith(f"{options.plant}:")]
         failed += 1 if violations_found else 0
     if options.plant:
-        return 0 if failed == options.seeds else 1
+        return 0 if failed == options.seeds and ended else 1
     return 1 if failed else 0
 
 
