--- a/src/include/cassiakeel/allotment/node_shares.h
+++ b/src/include/cassiakeel/allotment/node_shares.h
@@ -32,9 +32,6 @@
   /// Requests that this node may admit per window.
   std::uint32_t allowed = 0;
   WindowCount admitted;
-  /// Requests that may start at `paced_at` without exceeding the pace.
-  double pace_level = 0;
-  SteadyTime paced_at;
   /// Random in [0, 1); rounds shares of less than one request so that the
   /// fleet's sum is right.
   double phase = 0;
--- a/src/liballotment/node_shares.cc
+++ b/src/liballotment/node_shares.cc
@@ -23,11 +23,6 @@
 constexpr milliseconds kMaxRetryAfter{2000};
 // Longer than any time that a coordinator asks for; bounds the message.
 constexpr milliseconds kMaxAttached{std::chrono::hours(1)};
-// Part of a window's requests that may come at once. With a burst equal to the
-// rate of one second, a fifth of the window of 5 s is within the allotment.
-constexpr double kPaceDepthFraction = 0.25;
-// Random arrivals of a few clients stay within this.
-constexpr double kMinPaceDepth = 8;
 // Time in which a coordinator notices that a node is away and the other nodes
 // confirm smaller shares.
 constexpr milliseconds kTimeToRelease{2000};
@@ -169,28 +164,6 @@
                     kMinRetryAfter, kMaxRetryAfter);
 }
 
-/// Spreads the requests of a window: a tenant that sends several times its
-/// allotment would otherwise use all of it at the start of each window and get
-/// nothing for the rest. Takes one request, or returns the time until there is
-/// one.
-milliseconds TakePace(TenantWindow& tenant,
-                      const Bounds& bounds,
-                      SteadyTime now) {
-  const double window_s = std::chrono::duration<double>(bounds.window).count();
-  const double per_s = tenant.allowed / window_s;
-  const double depth =
-      std::max(kMinPaceDepth, kPaceDepthFraction * tenant.allowed);
-  tenant.pace_level = std::min(
-      depth, tenant.pace_level + per_s * SecondsBetween(tenant.paced_at, now));
-  tenant.paced_at = std::max(tenant.paced_at, now);
-  if (tenant.pace_level < 1) {
-    return std::chrono::ceil<milliseconds>(std::chrono::duration<double>(
-        (1 - tenant.pace_level) / std::max(per_s, 1e-3)));
-  }
-  tenant.pace_level -= 1;
-  return milliseconds(0);
-}
-
 /// Sets the window as if `allowed` requests had been admitted evenly.
 void UseUp(TenantWindow& tenant, const Bounds& bounds, SteadyTime now) {
   Advance(tenant.admitted, bounds, now);
@@ -208,8 +181,6 @@
   tenant.created = now;
   tenant.demand_at = now;
   tenant.promised = now;
-  tenant.pace_level = kMinPaceDepth;
-  tenant.paced_at = now;
   return tenant;
 }
 
@@ -261,10 +232,6 @@
   if (tenant.admitted.total >= tenant.allowed) {
     return {false, PromisePlace(tenant, shares.bounds, now)};
   }
-  if (const auto wait = TakePace(tenant, shares.bounds, now);
-      wait > milliseconds(0)) {
-    return {false, std::clamp(wait, kMinRetryAfter, kMaxRetryAfter)};
-  }
   ++SlotAt(tenant.admitted, tenant.admitted.current);
   ++tenant.admitted.total;
   return {};
