--- a/src/liballotment/coordinator.cc
+++ b/src/liballotment/coordinator.cc
@@ -56,7 +56,9 @@
   for (const auto& [name, account] : record.accounts) {
     AddAccount(coordinator.sums[name], account, sign);
   }
-  coordinator.counted += sign * static_cast<int>(record.counted);
+  if (record.counted) {
+    sign > 0 ? ++coordinator.counted : --coordinator.counted;
+  }
 }
 
 /// Takes what the node may hold as used in the last window.
@@ -265,9 +267,8 @@
     const bool counted = record.counted && !expired;
     MoveToPast(record, bounds, now);
     record.counted = counted;
-  } else if (expired) {
-    // The process tells itself what it used in the last window.
-    record = NodeRecord();
+  } else if (expired && record.counted) {
+    MoveToPast(record, bounds, now);
   }
   record.reported = now;
   record.sequence = report.sequence;
