--- a/src/liballotment/fleet_test.cc
+++ b/src/liballotment/fleet_test.cc
@@ -245,6 +245,16 @@
   }));
 }
 
+// Guards against faults that a search found: a paused coordinator that took old
+// reports for new ones, random rounding of shares below one request, and the
+// lost past of a node that returns.
+TEST_CASE("schedules that broke the bound once") {
+  for (const std::uint64_t seed : {1694679ULL, 23701580ULL, 738224574557ULL}) {
+    CAPTURE(seed);
+    CHECK(Schedule(seed, {}).Run(kScheduleS).empty());
+  }
+}
+
 // Guards against a check that would not notice a broken rule.
 TEST_CASE("the history check finds planted faults") {
   CHECK(IsFound({.use_expired_grant = true}));
