--- a/src/libmesh/allotment_exchange.cc
+++ b/src/libmesh/allotment_exchange.cc
@@ -22,11 +22,8 @@
 // which the shares of a restarted node matter.
 constexpr milliseconds kFirstDelay{20};
 
-// A tenant whose demand on all nodes is below this part of its rate is refused
-// only because its clients have come to this node since the last exchange.
-constexpr double kAmpleUse = 0.9;
 // Several round trips between zones: the time in which an early exchange brings
-// such a tenant its share.
+// a tenant its share whose clients have come to this node since the last one.
 constexpr milliseconds kEarlyRetryAfter{60};
 // Bounds the early exchanges.
 constexpr milliseconds kMinExchangeGap{100};
@@ -196,8 +193,7 @@
   auto admission = allotment::Admit(this->shares, tenant, now);
   auto& count = this->by_tenant[tenant];
   ++(admission.admitted ? count.admitted : count.refused);
-  if (!admission.admitted &&
-      allotment::UseOf(this->shares, tenant, now) < kAmpleUse) {
+  if (!admission.admitted && allotment::UseOf(this->shares, tenant, now) <= 0) {
     admission.retry_after = std::min(admission.retry_after, kEarlyRetryAfter);
     this->RequestEarlyExchange(now);
   }
