Send one allotment report at a time

Cause: an early exchange could overtake the regular one on another connection, which the coordinator takes for a restart; it then reserves the node's share for a window. Measured: mesh_test 68 cases pass.

--- a/src/libmesh/allotment_exchange.cc
+++ b/src/libmesh/allotment_exchange.cc
@@ -104,7 +104,7 @@
 
 void AllotmentExchange::Exchange() {
   this->Schedule(allotment::ExchangeInterval(this->ranked.size()));
-  if (!this->scheduled) {
+  if (!this->scheduled || this->awaits_grant) {
     return;
   }
   const auto now = this->timers->Now();
@@ -139,6 +139,7 @@
                    {{"Host", address.Value()}},
                    allotment::EncodeReport(report)};
   fetch.deadline = sent + allotment::ExchangeInterval(this->ranked.size());
+  this->awaits_grant = true;
   this->client.Start(std::move(fetch),
                      [this, coordinator, sent](const h1::FetchResult& result) {
                        this->OnAnswer(coordinator, result, sent);
@@ -148,6 +149,7 @@
 void AllotmentExchange::OnAnswer(const NodeId& coordinator,
                                  const h1::FetchResult& result,
                                  SteadyTime sent) {
+  this->awaits_grant = false;
   if (result.end != h1::FetchEnd::kComplete || result.response.status != 200) {
     this->OnFailure(coordinator, result.message);
     return;
@@ -201,7 +203,8 @@
 }
 
 void AllotmentExchange::RequestEarlyExchange(SteadyTime now) {
-  if (this->scheduled && now - this->exchanged_at >= kMinExchangeGap) {
+  if (this->scheduled && !this->awaits_grant &&
+      now - this->exchanged_at >= kMinExchangeGap) {
     this->exchanged_at = now;
     this->Schedule(milliseconds(0));
   }
--- a/src/libmesh/allotment_exchange.h
+++ b/src/libmesh/allotment_exchange.h
@@ -87,6 +87,9 @@
   std::map<NodeId, PeerAddress> addresses;
   NodeId current;
   SteadyTime exchanged_at;
+  /// A report is under way. A coordinator takes one that overtakes another for
+  /// that of a restarted process.
+  bool awaits_grant = false;
   int failures = 0;
   std::map<NodeId, SteadyTime> avoided_until;
   /// Demand-weighted mean of the use of the tenants of this node.
