--- a/src/include/cassiakeel/allotment/rule.h
+++ b/src/include/cassiakeel/allotment/rule.h
@@ -20,9 +20,9 @@
 /// report, times the number of nodes. It admits the first requests of a client
 /// until the next exchange.
 inline constexpr double kIdleFraction = 0.05;
-/// Part of the bound that is shared out; with a burst of a second, 1.12 times the
-/// rate. The remainder covers changes of the coordinator, in which nodes that are
-/// not counted yet may have used more than their part, and the random
+/// Part of the bound that is shared out; with a burst of a second, 1.12 times
+/// the rate. The remainder covers changes of the coordinator, in which nodes
+/// that are not counted yet may have used more than their part, and the random
 /// rounding of shares below one request.
 inline constexpr double kUsablePart = 0.85;
 
