--- a/testsuite/harness/faulty_messages.py
+++ b/testsuite/harness/faulty_messages.py
@@ -247,7 +247,9 @@
     await expect_served(soak, node, "after")
     for each in soak.nodes:
         expect(each.process.poll() is None, f"{each.name} has ended")
-    await soak.cancel_tasks()
+    await soak.end()
+    remaining = [line for line in soak.checker.violations if line.startswith("end")]
+    expect(not remaining, f"tasks remain at the end: {remaining}")
 
 
 def main():
