Read the directory again when the own row is stored and the poll hangs

Cause: polls that began while the store was silent have no reply until they time out after 28 s, on all nodes alike, so no peer shows a newer version either. Change: a node that has written its row checks that its copy shows it, as it does for a version that a peer has. A further case shows that a node that the store turns away gets a newer policy from a peer.

--- a/src/include/cassiakeel/mesh/registrar.h
+++ b/src/include/cassiakeel/mesh/registrar.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "cassiakeel/h1/timer_queue.h"
 #include "cassiakeel/mesh/backend.h"
@@ -34,6 +35,11 @@
 
   /// Sets the row to publish; `std::nullopt` removes the row.
   void Publish(std::optional<DirectoryEntry> desired);
+  /// Sets a handler that gets the version of each row that the store has
+  /// acknowledged.
+  void OnStored(std::function<void(std::uint64_t version)> handler) {
+    this->on_stored = std::move(handler);
+  }
   /// Processes the current rows of the directory table.
   void OnRows(const RowMap& rows);
   /// Calls `handler` with true once the store has acknowledged the row to
@@ -63,6 +69,7 @@
   bool writing = false;
   bool retry_pending = false;
   int failures = 0;
+  std::function<void(std::uint64_t version)> on_stored;
   std::map<std::uint64_t, std::function<void(bool stored)>> waiters;
   std::uint64_t next_waiter_id = 1;
 };
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -44,6 +44,9 @@
         log(clock) {
     this->registrar =
         Registrar::Create(store, timers, settings.directory_table, mesh.node);
+    this->registrar->OnStored([this](std::uint64_t version) {
+      this->ReloadDirectoryIfBehind(version);
+    });
     this->watch = BackendWatch::Create(
         timers, clock,
         settings.report_interval * kMaxMissedReports + kReportMargin,
@@ -122,11 +125,16 @@
         return this->policy_version.Value() < peer_version;
       });
     }
-    if (peer.directory > this->directory_version) {
+    this->ReloadDirectoryIfBehind(peer.directory);
+  }
+
+  // Reads the directory again if the poll does not bring `version`, which a
+  // peer or this node's own write has shown to exist. A poll that began while
+  // the store was silent has no reply until it times out, on all nodes alike.
+  void ReloadDirectoryIfBehind(std::uint64_t version) {
+    if (version > this->directory_version) {
       this->directory_rows->ReloadIfBehind(
-          [this, peer_version = peer.directory] {
-            return this->directory_version < peer_version;
-          });
+          [this, version] { return this->directory_version < version; });
     }
   }
 
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -1,7 +1,10 @@
+#include <future>
+
 #include "cassiakeel/mesh/backend_watch.h"
 #include "cassiakeel/mesh/control.h"
 #include "cassiakeel/mesh/registrar.h"
 #include "cassiakeel/mesh/table_follower.h"
+
 #include "mesh_test_support.h"
 
 namespace cassiakeel::mesh {
@@ -464,6 +467,41 @@
     }
   }
   CHECK(mesh.Call("b", "/back/1", "late").response.status == 200);
+
+  // Guards against a withdrawn key that is in use for as long as the store
+  // turns the node away.
+  a.store.Put("config", "8");
+  const auto policy_of_b = [&mesh] {
+    std::promise<std::string> text;
+    mesh.nodes["b"]->CollectMetrics(
+        [&text](std::string value) { text.set_value(std::move(value)); });
+    const auto metrics = text.get_future().get();
+    return metrics.find("cassiakeel_policy_version 8") != std::string::npos;
+  };
+  for (int i = 0; i < 100 && !policy_of_b(); ++i) {
+    CHECK(mesh.Call("a", "/back/1", "z").response.status == 200);
+    run(2);
+  }
+  CHECK(policy_of_b());
+}
+
+// Guards against backend servers that nobody sees: polls that began while the
+// store was silent stay without a reply until they time out, on all nodes
+// alike.
+TEST_CASE("a node reads again when its row is stored and its poll hangs") {
+  RestartedNode restarted(OwnRow(false));
+  auto& store = restarted.node.store;
+  restarted.node.control->Start();
+  restarted.Run();
+  store.hang_follows = true;
+  store.ReplyToFollowers();
+  restarted.Report(200, 1);
+  restarted.Run();
+  REQUIRE(restarted.StoredRow().started_at_ms == 200);
+  store.hang_follows = false;
+  const int reads = store.reads;
+  restarted.loop.RunFor(milliseconds(2600), store);
+  CHECK(store.reads == reads + 1);
 }
 
 }  // namespace cassiakeel::mesh
--- a/src/libmesh/registrar.cc
+++ b/src/libmesh/registrar.cc
@@ -187,6 +187,9 @@
                        if (reply.fault == StoreFault::kNone && reply.applied) {
                          self->stored_value = value;
                          self->stored_version = value ? reply.version : 0;
+                         if (self->on_stored) {
+                           self->on_stored(reply.version);
+                         }
                        }
                        self->OnWritten(reply);
                      });
