Reject messages that break the HTTP/1.1 grammar

Seen by callers: answers with the status 000, and answers in whose head a field name held a blank or a control byte, were delivered as they were, with the line passed on or with a body that another framing field gave.

Cause: http_parser as packaged is built without its strict mode and accepts far more than the grammar: any digits as status and version, blanks and control bytes in field names, blanks before the colon, folded lines, bare line feeds, unknown transfer codings, chunked in HTTP/1.0, any bytes behind a chunk. It also reads a body where status or method exclude one, so a 304 with a length never ended.

Change: libsyntax holds the grammar of RFC 9110 and RFC 9112 as free functions and checks a message line by line (syntax::Advance). The parser of libh1, which reads for the gate, the nodes, the store's client and the servers, feeds it the same bytes and fails where it fails or where both disagree about the end. Such a response is kNoResponse (may have run, connection closed), such a request 400.

--- a/src/libh1/h1_test.cc
+++ b/src/libh1/h1_test.cc
@@ -1,4 +1,6 @@
 #define CATCH_CONFIG_MAIN
+#include <vector>
+
 #include "cassiakeel/base/alter_text.h"
 #include "h1_test_support.h"
 #include "parser.h"
@@ -42,6 +44,51 @@
   CHECK(served == 0);
 }
 
+// Guards against a request that another reader takes for two, or for one with
+// other fields (RFC 9112, sections 2.2, 5, 6 and 7).
+TEST_CASE("a request that breaks the protocol gets 400 and is not served") {
+  TestLoop loop;
+  int served = 0;
+  const auto server = loop.Serve([&served](std::shared_ptr<Exchange> exchange) {
+    ++served;
+    exchange->Respond({200, {}, {}});
+  });
+  const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  const std::string end = "Content-Length: 1\r\n\r\nA";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  CHECK(SendAndReceive(loop, head + "X:\t\xe9 \r\n" + end)
+            .starts_with("HTTP/1.1 200"));
+  CHECK(SendAndReceive(loop, chunked + "1;a=b\r\nA\r\n0\r\nT: u\r\n\r\n")
+            .starts_with("HTTP/1.1 200"));
+  REQUIRE(served == 2);
+  const std::vector<std::string> malformed = {
+      head + "A B: c\r\n" + end,
+      head + "A : b\r\n" + end,
+      head + "Content-Length : 1\r\n\r\nA",
+      head + "A\x01: b\r\n" + end,
+      head + "A: b\r\n folded\r\n" + end,
+      head + "A: b\n" + end,
+      head + "Host: i\r\n" + end,
+      head + ": b\r\n" + end,
+      "POST /a HTTP/1.1\r\n Host: h\r\n" + end,
+      "POST /a HTTP/2.0\r\nHost: h\r\n" + end,
+      "POST /a\tb HTTP/1.1\r\nHost: h\r\n" + end,
+      "POST /a\x80 HTTP/1.1\r\nHost: h\r\n" + end,
+      head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      chunked + "1\r\nAXX0\r\n\r\n",
+      chunked + "1 x\r\nA\r\n0\r\n\r\n",
+      chunked + "1\r\nA\r\n0\r\nT u: v\r\n\r\n",
+      chunked + "1\nA\r\n0\r\n\r\n"};
+  for (const auto& request : malformed) {
+    INFO(request);
+    const auto response = SendAndReceive(loop, request);
+    CHECK(response.starts_with("HTTP/1.1 400"));
+    CHECK(response.find("Connection: close") != std::string::npos);
+  }
+  CHECK(served == 2);
+}
+
 // Guards against input that makes the parser read past the end of a message,
 // exceed its limits, or give a different result when the same bytes arrive in
 // smaller pieces.
--- a/src/libh1/parser.cc
+++ b/src/libh1/parser.cc
@@ -65,6 +65,10 @@
   http_parser_init(&this->raw_parser,
                    this->kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   this->raw_parser.data = this;
+  this->scan = {};
+  this->scan.kind = this->kind == Kind::kRequest
+                        ? syntax::MessageKind::kRequest
+                        : syntax::MessageKind::kResponse;
   this->method.clear();
   this->target.clear();
   this->status = 0;
@@ -86,6 +90,10 @@
   this->has_started = this->has_started || !bytes.empty();
   used = http_parser_execute(&this->raw_parser, &kCallbacks, bytes.data(),
                              bytes.size());
+  if (!this->CheckSyntax(bytes.substr(0, used))) {
+    this->parse_error = ParseError::kMalformed;
+    return ParseState::kFailed;
+  }
   if (this->done) {
     return ParseState::kComplete;
   }
@@ -107,7 +115,19 @@
     return ParseState::kFailed;
   }
   http_parser_execute(&this->raw_parser, &kCallbacks, nullptr, 0);
-  return this->done ? ParseState::kComplete : ParseState::kFailed;
+  return this->done && syntax::EndCompletes(this->scan) ? ParseState::kComplete
+                                                        : ParseState::kFailed;
+}
+
+bool Parser::CheckSyntax(std::string_view bytes) {
+  while (!bytes.empty()) {
+    const auto step = syntax::Advance(this->scan, bytes);
+    if (!step || step->used == 0) {
+      return false;
+    }
+    bytes.remove_prefix(step->used);
+  }
+  return this->done == (this->scan.part == syntax::ScanPart::kComplete);
 }
 
 bool Parser::expects_continue() const {
@@ -190,7 +210,7 @@
     return 0;
   }
   self.status = static_cast<int>(raw_parser->status_code);
-  return self.no_body ? 1 : 0;
+  return syntax::MayHaveContent(self.status, self.scan.to_head) ? 0 : 1;
 }
 
 int Parser::OnBody(http_parser* raw_parser,
--- a/src/libh1/parser.h
+++ b/src/libh1/parser.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "cassiakeel/h1/message.h"
+#include "cassiakeel/syntax/scan.h"
 
 namespace cassiakeel::h1::pvt {
 
@@ -19,6 +20,8 @@
 int StatusForError(ParseError error);
 
 /// Parses the requests or the responses of a byte stream, one at a time.
+/// `http_parser` assembles them; `syntax::Advance` sees the same bytes and
+/// rejects what the library accepts beyond the grammar.
 class Parser {
  public:
   enum class Kind { kRequest, kResponse };
@@ -34,7 +37,7 @@
   void Reset();
   /// To be set for a response to HEAD, which has no body even if its fields
   /// give a length.
-  void set_no_body(bool value) { this->no_body = value; }
+  void set_no_body(bool value) { this->scan.to_head = value; }
 
   /// Whether any byte of the current message was parsed.
   bool started() const { return this->has_started; }
@@ -75,10 +78,13 @@
   // Counts the bytes of a head that the callbacks do not report: empty lines
   // before the start line, the reason phrase and separators.
   bool HeadFits(std::size_t bytes);
+  // Whether `bytes`, which the library has parsed, obey the grammar.
+  bool CheckSyntax(std::string_view bytes);
 
   Kind kind;
   const MessageLimits& limits;
   http_parser raw_parser{};
+  syntax::Scan scan;
   std::size_t header_bytes = 0;
   std::size_t declared_bytes = 0;
   /// All bytes fed before the end of the head.
@@ -88,7 +94,6 @@
   bool head_done = false;
   bool done = false;
   bool persistent = false;
-  bool no_body = false;
   ParseError parse_error = ParseError::kNone;
 };
 
