Remove blanks behind field values

Seen by callers: an answer whose attempt id is followed by a blank was taken for one to an earlier request and discarded, and the request ended at its deadline.

Cause: http_parser removes the blanks before a value only; the grammar excludes those behind it as well (RFC 9112, section 5.1).

Change: the parser removes them.

--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -277,6 +277,9 @@
   const std::vector<std::pair<std::string, std::string>> cases = {
       {"HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nA", "A"},
       {"HTTP/1.1 299 \r\nid:1\r\ncontent-length:1\r\n\r\nA", "A"},
+      {"HTTP/1.1 200 OK\r\nId: \t1 \r\nA:\r\nB: \xe9\r\n"
+       "Content-Length: 1\r\n\r\nA",
+       "A"},
       {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
        "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nA",
        "A"},
--- a/src/libh1/parser.cc
+++ b/src/libh1/parser.cc
@@ -18,6 +18,13 @@
 // for a moment; reserved memory that is not written needs none.
 constexpr std::size_t kReserveFromBytes = 4U << 20U;
 
+// The library leaves the blanks behind a field value (RFC 9112, section 5.1).
+void RemoveTrailingBlanks(HeaderList& headers) {
+  for (auto& [name, value] : headers) {
+    value.erase(value.find_last_not_of(" \t") + 1);
+  }
+}
+
 // Reserves memory for `length` more bytes of a body of at most `longest`.
 void ReserveFor(std::string& body, std::size_t length, std::size_t longest) {
   const auto needed = body.size() + length;
@@ -193,6 +200,7 @@
 int Parser::OnHeadersComplete(http_parser* raw_parser) {
   auto& self = ParserOf(raw_parser);
   self.head_done = true;
+  RemoveTrailingBlanks(self.headers);
   self.persistent = http_should_keep_alive(raw_parser) != 0;
   // Protocol upgrades are not supported, so the message is parsed as an
   // ordinary one.
