Don't take a response without id for the next answer on a connection

Seen by callers: a backend server in trouble wrote an earlier refusal once more on a kept connection, without the attempt id. It was taken for the answer to the next request, which the server ran: 503 ("not run") to the client, and a second run where the request was tried elsewhere.

Cause: a response without the id was accepted as the current one whatever the connection had carried before; only its later reuse was prevented. Requests without an id of their own used kept connections with no check at all.

Change: FindAnswered decides which request a response answers from the repeated ids and from whether the connection is new. On a kept connection a response without id, or with several, ends the request with kNoResponse (may have run, connection closed). A request without id has a connection of its own.

--- a/src/include/cassiakeel/h1/client.h
+++ b/src/include/cassiakeel/h1/client.h
@@ -47,11 +47,14 @@
   SteadyTime deadline;
   /// Name of a response field that repeats a value of the request. A response
   /// with another value in this field answers an earlier request on the
-  /// connection and is discarded. Without this field in the response, or for
-  /// the same value again, the connection is not reused: a late copy of the
-  /// response could not be told from the response to the next request. An empty
-  /// name disables the check.
+  /// connection and is discarded. A response without this field is accepted
+  /// only on a new connection, and ends the fetch with `kNoResponse` on a
+  /// reused one, where it may be a late copy of an earlier response. After it,
+  /// and for the same value again, the connection is not reused. An empty name
+  /// disables the check.
   std::string echo_field;
+  /// Empty if the request has no such value; it then has a connection of its
+  /// own.
   std::string echo_value;
   /// Reuse a connection only if it was idle for less than this. If the peer
   /// closes a reused connection at the moment the request is sent, it is
--- a/src/libh1/client_connection.cc
+++ b/src/libh1/client_connection.cc
@@ -87,9 +87,10 @@
 }
 
 bool ClientConnection::Usable(SteadyTime now, const Fetch& next) const {
-  const bool repeats_id =
-      !next.echo_field.empty() && next.echo_value == this->fetch.echo_value;
-  return !this->closed && now < this->keep_until && !repeats_id &&
+  const bool has_own_id =
+      next.echo_field.empty() ||
+      (!next.echo_value.empty() && next.echo_value != this->fetch.echo_value);
+  return !this->closed && now < this->keep_until && has_own_id &&
          now - this->idle_since < next.max_idle;
 }
 
@@ -240,10 +241,12 @@
     return;
   }
   if (error == asio::error::eof && !this->write_error &&
-      this->parser.FeedEnd() == ParseState::kComplete &&
-      !this->AnswersEarlierRequest()) {
-    this->Deliver(false);
-    return;
+      this->parser.FeedEnd() == ParseState::kComplete) {
+    const auto answered = this->AnsweredRequest();
+    if (answered == Answered::kCurrent || answered == Answered::kOnly) {
+      this->Deliver(false);
+      return;
+    }
   }
   this->Finish(FetchEnd::kNoResponse, this->write_error
                                           ? this->write_error.message()
@@ -264,12 +267,24 @@
       break;
     }
     bytes.remove_prefix(used);
-    if (this->parser.status / 100 == 1 || this->AnswersEarlierRequest()) {
+    if (this->parser.status / 100 == 1) {
+      this->ResetParser();
+      continue;
+    }
+    const auto answered = this->AnsweredRequest();
+    if (answered == Answered::kEarlier) {
       this->ResetParser();
       continue;
     }
+    if (answered == Answered::kUnknown) {
+      this->Finish(FetchEnd::kNoResponse,
+                   "response does not repeat the id of its request and may "
+                   "answer an earlier one");
+      return;
+    }
     this->Deliver(bytes.empty() && this->parser.keep_alive() &&
-                  !this->writing && !this->write_error && this->RepeatsId());
+                  !this->writing && !this->write_error &&
+                  answered == Answered::kCurrent);
     return;
   }
   this->buffered.Set(this->parser.buffered_bytes());
@@ -289,17 +304,9 @@
   this->parser.set_no_body(this->fetch.request.method == "HEAD");
 }
 
-bool ClientConnection::RepeatsId() const {
-  return this->fetch.echo_field.empty() ||
-         FindHeader(this->parser.headers, this->fetch.echo_field) != nullptr;
-}
-
-bool ClientConnection::AnswersEarlierRequest() const {
-  if (this->fetch.echo_field.empty()) {
-    return false;
-  }
-  const auto* echo = FindHeader(this->parser.headers, this->fetch.echo_field);
-  return echo != nullptr && *echo != this->fetch.echo_value;
+Answered ClientConnection::AnsweredRequest() const {
+  return FindAnswered(this->parser.headers, this->fetch.echo_field,
+                      this->fetch.echo_value, this->fresh);
 }
 
 void ClientConnection::Deliver(bool reusable) {
--- a/src/libh1/client_connection.h
+++ b/src/libh1/client_connection.h
@@ -10,6 +10,7 @@
 
 #include "buffer_budget.h"
 #include "cassiakeel/h1/client.h"
+#include "echo.h"
 #include "parser.h"
 
 namespace cassiakeel::h1::pvt {
@@ -79,12 +80,8 @@
   void Consume(std::string_view bytes);
   void ResetParser();
 
-  /// Whether a late copy of the parsed response can be told from the response
-  /// to another request.
-  bool RepeatsId() const;
-
-  /// Whether the parsed response answers an earlier request on this connection.
-  bool AnswersEarlierRequest() const;
+  /// Which request the parsed response answers.
+  Answered AnsweredRequest() const;
   void Deliver(bool reusable);
   void KeepIdle(const HeaderList& headers);
   void Finish(FetchEnd end, std::string message);
--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -2,6 +2,7 @@
 #include <vector>
 
 #include "buffer_budget.h"
+#include "echo.h"
 #include "h1_test_support.h"
 
 namespace cassiakeel::h1 {
@@ -338,6 +339,80 @@
   CHECK(client->connections_opened() == 2);
 }
 
+// Guards against an earlier refusal that a server sends once more, without the
+// id, and that is taken for the response to the next request, which does run.
+TEST_CASE("a response without id on a reused connection is kNoResponse") {
+  const std::string refusal =
+      "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  TestLoop loop;
+  bool is_first = true;
+  RawServer server([&refusal, is_first](tcp::socket& socket) mutable {
+    ReadHead(socket);
+    if (!std::exchange(is_first, false)) {
+      Reply(socket, refusal);
+      return;
+    }
+    Reply(socket,
+          "HTTP/1.1 503 Full\r\nId: 1\r\nX-Not-Executed: 1\r\n"
+          "Content-Length: 0\r\n\r\n");
+    ReadHead(socket);
+    Reply(socket, refusal +
+                      "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 1\r\n"
+                      "\r\nA");
+  });
+  const auto client = Client::Create(loop.io_context, loop.timers, {});
+  CHECK(Run(loop, *client, GetFrom(loop, server.address(), "1"))
+            .response.status == 503);
+  const auto next = Run(loop, *client, GetFrom(loop, server.address(), "2"));
+  CHECK(next.end == FetchEnd::kNoResponse);
+  CHECK_FALSE(next.fresh_connection);
+  // The first response on a new connection can't be a copy.
+  CHECK(Run(loop, *client, GetFrom(loop, server.address(), "3"))
+            .response.status == 503);
+  CHECK(client->connections_opened() == 2);
+}
+
+// Guards against a response of another request for a request that has no id.
+TEST_CASE("a request without id has a connection of its own") {
+  TestLoop loop;
+  // Belongs to the server's thread, which ends before its sockets' context.
+  auto open_sockets = std::make_shared<std::vector<tcp::socket>>();
+  RawServer server(
+      [open_sockets = std::move(open_sockets)](tcp::socket& socket) {
+        const auto head = ReadHead(socket);
+        const bool has_id = head.find("Id: 1") != std::string::npos;
+        Reply(socket, std::string("HTTP/1.1 200 OK\r\n") +
+                          (has_id ? "Id: 1\r\n" : "") +
+                          "Content-Length: 1\r\n\r\nA");
+        open_sockets->push_back(std::move(socket));
+      });
+  const auto client = Client::Create(loop.io_context, loop.timers, {});
+  for (const char* id : {"1", "", ""}) {
+    CHECK(Run(loop, *client, GetFrom(loop, server.address(), id)).end ==
+          FetchEnd::kComplete);
+  }
+  CHECK(client->connections_opened() == 3);
+}
+
+TEST_CASE("a response is matched to its request by all fields with the id") {
+  using pvt::Answered;
+  const auto find = [](const HeaderList& headers, bool is_first) {
+    return pvt::FindAnswered(headers, "Id", "1", is_first);
+  };
+  for (const bool is_first : {false, true}) {
+    CHECK(find({{"id", "1"}}, is_first) == Answered::kCurrent);
+    CHECK(find({{"Id", "1"}, {"Id", "1"}}, is_first) == Answered::kCurrent);
+    CHECK(find({{"Id", "2"}}, is_first) == Answered::kEarlier);
+    CHECK(find({{"Id", ""}}, is_first) == Answered::kEarlier);
+    CHECK(find({{"Id", "2"}, {"Id", "1"}}, is_first) == Answered::kUnknown);
+    CHECK(pvt::FindAnswered({}, "", "", is_first) == Answered::kCurrent);
+  }
+  CHECK(pvt::FindAnswered({{"Id", "2"}}, "Id", "", true) == Answered::kOnly);
+  CHECK(pvt::FindAnswered({}, "Id", "", false) == Answered::kUnknown);
+  CHECK(find({}, true) == Answered::kOnly);
+  CHECK(find({}, false) == Answered::kUnknown);
+}
+
 // Guards against a late copy of the refusal of an attempt that is taken for the
 // outcome of the next attempt of the same request, which does run.
 TEST_CASE("a connection is not reused for the id that it has just carried") {
--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -256,7 +256,7 @@
   fetch.peer = this->backend.report.address;
   fetch.request = std::move(call.request.request);
   fetch.deadline = call.request.deadline + kResponseMargin;
-  fetch.echo_field = call.attempt.empty() ? "" : this->fields.attempt_id;
+  fetch.echo_field = this->fields.attempt_id;
   fetch.echo_value = call.attempt;
   auto& headers = fetch.request.headers;
   headers.emplace_back(this->fields.timeout_ms, std::to_string(left.count()));
--- a/src/libmesh/dispatched_call.cc
+++ b/src/libmesh/dispatched_call.cc
@@ -203,8 +203,7 @@
       this->owner.settings.fields.timeout_ms,
       std::to_string(std::max<std::int64_t>(1, left.count())));
   fetch.deadline = this->deadline + kResponseMargin;
-  fetch.echo_field =
-      this->attempt_id.empty() ? "" : this->owner.settings.fields.attempt_id;
+  fetch.echo_field = this->owner.settings.fields.attempt_id;
   fetch.echo_value = this->attempt_id;
   const auto attempt_number = ++this->attempts;
   this->remote_fetch = this->owner.client->Start(
