Don't keep libcurl handles between exchanges

Seen: a response that begins with a folded line ends the process that reads it.

Cause: libcurl 7.88 stores the fields of a response for its header functions and adds a folded line to the last one. A handle that is reset and used again still points to the last field of its previous response, which is freed.

Change: each exchange of libhttp has a handle of its own; connections are kept by the multi handle as before. A call to the platform in libplatform has a handle and so a connection of its own, reads like writes until now: there the handle holds the connection, and nothing in an answer tells a late copy from the next.

--- a/src/libhttp/client.cc
+++ b/src/libhttp/client.cc
@@ -217,12 +217,10 @@
     exchange->id = this->next_id++;
     exchange->request = std::move(request);
     exchange->handler = std::move(handler);
-    if (this->idle_handles.empty()) {
-      exchange->easy.reset(curl_easy_init());
-    } else {
-      exchange->easy = std::move(this->idle_handles.back());
-      this->idle_handles.pop_back();
-    }
+    // Not kept for the next exchange: a handle keeps a pointer to the last
+    // field of its last response, and libcurl 7.88 follows it if the next
+    // response begins with a folded line.
+    exchange->easy.reset(curl_easy_init());
     ApplyOptions(exchange.get());
     ApplyHeaders(exchange.get());
     const ExchangeId id = exchange->id;
@@ -370,8 +368,7 @@
     }
     StoreStatus(exchange.get());
     curl_multi_remove_handle(this->multi, exchange->easy.get());
-    curl_easy_reset(exchange->easy.get());
-    this->idle_handles.push_back(std::move(exchange->easy));
+    exchange->easy.reset();
     exchange->result.end = end;
     exchange->handler.on_end(std::move(exchange->result));
   }
@@ -382,7 +379,6 @@
   ExchangeId next_id = 1;
   std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges;
   std::unordered_map<int, std::shared_ptr<SocketWatch>> watches;
-  std::vector<std::unique_ptr<CURL, EasyDeleter>> idle_handles;
 };
 
 Result<std::unique_ptr<Client>> Client::Create(asio::io_context& io_context) {
--- a/src/libhttp/http_test.cc
+++ b/src/libhttp/http_test.cc
@@ -4,6 +4,7 @@
 #include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <deque>
 #include <optional>
@@ -125,6 +126,49 @@
   std::deque<bool> respond_script;
 };
 
+/// Answers each connection with the next of `responses` and closes it.
+class RawPeer {
+ public:
+  explicit RawPeer(std::vector<std::string> responses)
+      : acceptor(this->io, {asio::ip::address_v4::loopback(), 0}),
+        responses(std::move(responses)),
+        thread([this] { this->Run(); }) {}
+  ~RawPeer() {
+    this->stopped = true;
+    asio::ip::tcp::socket wake(this->io);
+    asio::error_code ignored;
+    wake.connect(this->acceptor.local_endpoint(), ignored);
+    wake.close(ignored);
+    this->thread.join();
+  }
+
+  PeerAddress Address() {
+    return PeerAddress("127.0.0.1:" +
+                       std::to_string(this->acceptor.local_endpoint().port()));
+  }
+
+ private:
+  void Run() {
+    for (const auto& response : this->responses) {
+      asio::ip::tcp::socket socket(this->io);
+      asio::error_code error;
+      this->acceptor.accept(socket, error);
+      if (this->stopped) {
+        return;
+      }
+      asio::streambuf request;
+      asio::read_until(socket, request, "\r\n\r\n", error);
+      asio::write(socket, asio::buffer(response), error);
+    }
+  }
+
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor;
+  std::vector<std::string> responses;
+  std::atomic<bool> stopped{false};
+  std::thread thread;
+};
+
 }  // namespace
 
 TEST_CASE("request and response are transferred completely") {
@@ -222,6 +266,19 @@
   }
 }
 
+// Guards against a response that ends the process: libcurl 7.88 adds a folded
+// line to the last field of the response that its handle received before.
+TEST_CASE("a folded line at the start of a head does not end the process") {
+  const std::string end = "Content-Length: 1\r\n\r\nA";
+  RawPeer peer({"HTTP/1.1 200 OK\r\nX: y\r\n" + end,
+                "HTTP/1.1 200 OK\r\n X: y\r\n" + end});
+  asio::io_context io;
+  auto client = Client::Create(io);
+  CHECK(RunExchange(io, **client, RequestTo(peer.Address(), "GET")).end ==
+        ExchangeEnd::kComplete);
+  RunExchange(io, **client, RequestTo(peer.Address(), "GET"));
+}
+
 TEST_CASE("the server detects that the peer closed the connection") {
   asio::io_context io;
   bool closed = false;
--- a/src/libplatform/http_exchange.cc
+++ b/src/libplatform/http_exchange.cc
@@ -4,6 +4,7 @@
 #include <strings.h>
 
 #include <cstddef>
+#include <memory>
 #include <string_view>
 
 #include "cassiakeel/platform/platform.h"
@@ -15,8 +16,6 @@
 /// Largest answer that is read; objects hold at most a policy sheet or the
 /// deduplication table of one shard.
 constexpr std::size_t kMaxResponseBytes = std::size_t{256} << 20;
-/// Idle handles kept; each holds one idle connection to the platform.
-constexpr std::size_t kMaxIdleHandles = 8;
 
 constexpr long kTooManyRequests = 429;
 constexpr long kServiceUnavailable = 503;
@@ -54,6 +53,10 @@
   return size;
 }
 
+struct EasyDeleter {
+  void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
+};
+
 /// Header list of one request, freed with it.
 class HeaderLines {
  public:
@@ -89,13 +92,6 @@
                      static_cast<curl_off_t>(request.body.size()));
     curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
   }
-  if (request.is_write) {
-    // libcurl sends a request again when a reused connection closes before any
-    // answer. The first copy of a conditional write may have been applied, and
-    // the second would then report a conflict.
-    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
-  }
 }
 
 }  // namespace
@@ -118,71 +114,38 @@
   return encoded;
 }
 
-/// Takes a handle for one call and gives it back.
-class HttpExchange::Lease {
- public:
-  explicit Lease(HttpExchange& owner) : owner(owner) {
-    const std::lock_guard lock(owner.mutex);
-    if (!owner.idle.empty()) {
-      this->handle = owner.idle.back();
-      owner.idle.pop_back();
-      return;
-    }
-    this->handle = curl_easy_init();
-    if (this->handle == nullptr) {
-      owner.Throw("start HTTP client", "out of memory", false);
-    }
-  }
-  ~Lease() {
-    curl_easy_reset(this->handle);
-    const std::lock_guard lock(this->owner.mutex);
-    if (this->owner.idle.size() < kMaxIdleHandles) {
-      this->owner.idle.push_back(this->handle);
-    } else {
-      curl_easy_cleanup(this->handle);
-    }
-  }
-  Lease(const Lease&) = delete;
-  Lease& operator=(const Lease&) = delete;
-  CURL* get() const { return this->handle; }
-
- private:
-  HttpExchange& owner;
-  CURL* handle = nullptr;
-};
-
 HttpExchange::HttpExchange(PeerAddress address,
                            std::chrono::milliseconds timeout)
     : address(std::move(address)), timeout(timeout) {
   InitCurlOnce();
-  this->idle.reserve(kMaxIdleHandles);
-}
-
-HttpExchange::~HttpExchange() {
-  for (void* handle : this->idle) {
-    curl_easy_cleanup(handle);
-  }
 }
 
 HttpResponse HttpExchange::Perform(const HttpRequest& request) {
-  const Lease lease(*this);
+  // Each call has a handle and a connection of its own. libcurl sends a request
+  // again when a reused connection closes before any answer; the first copy of
+  // a conditional write may have been applied, and the second would then report
+  // a conflict. Nor could a late copy of an answer be told from the next one.
+  const std::unique_ptr<CURL, EasyDeleter> handle(curl_easy_init());
+  if (!handle) {
+    this->Throw("start HTTP client", "out of memory", false);
+  }
   HeaderLines headers;
   // Without this libcurl waits up to 1 s for "100 Continue" on large bodies.
   headers.Add("Expect:");
   headers.Add("Content-Type: application/octet-stream");
   const std::string url = "http://" + this->address.Value() + request.target;
   HttpResponse response;
-  SetOptions(lease.get(), request, url, this->timeout, headers);
-  curl_easy_setopt(lease.get(), CURLOPT_WRITEFUNCTION, AppendBody);
-  curl_easy_setopt(lease.get(), CURLOPT_WRITEDATA, &response);
-  curl_easy_setopt(lease.get(), CURLOPT_HEADERFUNCTION, ReadHeader);
-  curl_easy_setopt(lease.get(), CURLOPT_HEADERDATA, &response);
-  const CURLcode code = curl_easy_perform(lease.get());
+  SetOptions(handle.get(), request, url, this->timeout, headers);
+  curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, AppendBody);
+  curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &response);
+  curl_easy_setopt(handle.get(), CURLOPT_HEADERFUNCTION, ReadHeader);
+  curl_easy_setopt(handle.get(), CURLOPT_HEADERDATA, &response);
+  const CURLcode code = curl_easy_perform(handle.get());
   if (code != CURLE_OK) {
     this->Throw(request.step, curl_easy_strerror(code),
                 request.is_write && code != CURLE_COULDNT_CONNECT);
   }
-  curl_easy_getinfo(lease.get(), CURLINFO_RESPONSE_CODE, &response.status);
+  curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &response.status);
   if (response.status == kTooManyRequests) {
     this->Throw(request.step, "over the rate limit (429)", false);
   }
--- a/src/libplatform/http_exchange.h
+++ b/src/libplatform/http_exchange.h
@@ -1,10 +1,7 @@
 #pragma once
 
 #include <chrono>
-#include <memory>
-#include <mutex>
 #include <string>
-#include <vector>
 
 #include "cassiakeel/base/strong.h"
 
@@ -30,12 +27,11 @@
 /// Percent-encodes `text` for use as one path segment or query value.
 std::string UrlEncode(const std::string& text);
 
-/// Blocking HTTP calls to one address, over libcurl easy handles that are kept
-/// for reuse, one per concurrent call. Safe from any thread.
+/// Blocking HTTP calls to one address, each on a connection of its own. Safe
+/// from any thread.
 class HttpExchange {
  public:
   HttpExchange(PeerAddress address, std::chrono::milliseconds timeout);
-  ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
 
@@ -49,13 +45,8 @@
                           bool may_have_applied) const;
 
  private:
-  class Lease;
-
   PeerAddress address;
   std::chrono::milliseconds timeout;
-  std::mutex mutex;
-  /// Idle handles (CURL*).
-  std::vector<void*> idle;
 };
 
 }  // namespace cassiakeel::platform::pvt
