Check the answers that libcurl reads

Seen: cassiakeeld and cassiakeel took malformed answers of backend servers and nodes for answers, and a head that stops and closes for a whole one; so did the client of the platform, which handed out a broken body as an object and believed a refusal in a malformed head.

Cause: libcurl accepts what the grammar excludes, and reports a transfer that ends within the head as complete.

Change: libhttp and libplatform hand the header lines and, with libcurl's own decoding switched off, the bytes of the body to syntax::PartialResponse, which applies the checks of libsyntax, removes the chunked coding and says whether the response is whole. A violation ends the exchange as kNoResponse, and a write to the platform as one that may have been applied. Bytes behind a response close the connection. The malformed responses for the tests stand in one header.

--- a/src/libhttp/client.cc
+++ b/src/libhttp/client.cc
@@ -9,6 +9,8 @@
 #include <mutex>
 #include <unordered_map>
 
+#include "cassiakeel/syntax/response.h"
+
 namespace cassiakeel::http {
 namespace {
 
@@ -16,9 +18,8 @@
 // request is sent on a connection that the peer is about to close.
 constexpr long kMaxIdleSeconds = 20;
 constexpr long kMaxCachedConnections = 512;
-// Bounds on a response that is held in memory. The largest ones are objects of
+// Bound on a response that is held in memory. The largest ones are objects of
 // the platform's store, of at most 8 MiB.
-constexpr std::size_t kMaxHeaderBytes = 64U << 10U;
 constexpr std::size_t kMaxBodyBytes = 16U << 20U;
 // Returned by a callback to end the transfer with an error.
 constexpr std::size_t kAbortTransfer = 0;
@@ -42,48 +43,30 @@
   std::unique_ptr<CURL, EasyDeleter> easy;
   std::unique_ptr<curl_slist, HeaderListDeleter> header_list;
   ExchangeResult result;
-  std::size_t header_bytes = 0;
+  syntax::PartialResponse response;
   bool sent = false;
   bool start_notified = false;
 };
 
-std::string_view Trim(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
-}
-
 std::size_t OnHeader(char* data, std::size_t, std::size_t size, void* arg) {
   auto* exchange = static_cast<Exchange*>(arg);
-  const std::string_view line(data, size);
-  exchange->header_bytes += size;
-  if (exchange->header_bytes > kMaxHeaderBytes) {
+  const auto taken = syntax::TakeHeaderLine(exchange->response, {data, size});
+  if (!taken) {
+    exchange->result.error = taken.error().ToString();
     return kAbortTransfer;
   }
-  if (line.starts_with("HTTP/")) {
-    exchange->result.headers.clear();
-    return size;
-  }
-  const auto colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    exchange->result.headers.emplace_back(Trim(line.substr(0, colon)),
-                                          Trim(line.substr(colon + 1)));
-  }
   return size;
 }
 
-void StoreStatus(Exchange* exchange) {
-  long status = 0;
-  curl_easy_getinfo(exchange->easy.get(), CURLINFO_RESPONSE_CODE, &status);
-  exchange->result.status = static_cast<int>(status);
+void StoreHead(Exchange* exchange) {
+  exchange->result.status = exchange->response.scan.start.status;
+  exchange->result.headers = exchange->response.headers;
 }
 
 void NotifyResponseStart(Exchange* exchange) {
   if (!exchange->start_notified && exchange->handler.on_start) {
     exchange->start_notified = true;
-    StoreStatus(exchange);
+    StoreHead(exchange);
     exchange->handler.on_start(exchange->result.status,
                                exchange->result.headers);
   }
@@ -91,16 +74,28 @@
 
 std::size_t OnBody(char* data, std::size_t, std::size_t size, void* arg) {
   auto* exchange = static_cast<Exchange*>(arg);
-  if (!exchange->handler.on_data) {
-    if (exchange->result.body.size() + size > kMaxBodyBytes) {
-      return kAbortTransfer;
+  const auto scan_before = exchange->response.scan;
+  const auto content = syntax::TakeBody(exchange->response, {data, size});
+  if (!content) {
+    exchange->result.error = content.error().ToString();
+    return kAbortTransfer;
+  }
+  if (exchange->response.has_stray_bytes) {
+    curl_easy_setopt(exchange->easy.get(), CURLOPT_FORBID_REUSE, 1L);
+  }
+  if (exchange->handler.on_data) {
+    NotifyResponseStart(exchange);
+    // After a pause, libcurl delivers the same bytes again.
+    if (!content->empty() && !exchange->handler.on_data(*content)) {
+      exchange->response.scan = scan_before;
+      return CURL_WRITEFUNC_PAUSE;
     }
-    exchange->result.body.append(data, size);
-    return size;
+  } else if (exchange->result.body.size() + content->size() > kMaxBodyBytes) {
+    return kAbortTransfer;
+  } else {
+    exchange->result.body.append(*content);
   }
-  NotifyResponseStart(exchange);
-  // After a pause, libcurl delivers the same bytes again.
-  return exchange->handler.on_data({data, size}) ? size : CURL_WRITEFUNC_PAUSE;
+  return size;
 }
 
 int OnBeforeRequest(void* arg, char*, char*, int, int) {
@@ -116,7 +111,8 @@
 }
 
 ExchangeEnd EndFromCurlCode(const Exchange& exchange, CURLcode code) {
-  if (code == CURLE_OK) {
+  // libcurl takes a head that ends early for a whole response.
+  if (code == CURLE_OK && syntax::IsWhole(exchange.response)) {
     return ExchangeEnd::kComplete;
   }
   if (!exchange.sent) {
@@ -135,7 +131,8 @@
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 1L);
+  // The chunked coding is checked and removed here.
+  curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(request.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
@@ -217,6 +214,7 @@
     exchange->id = this->next_id++;
     exchange->request = std::move(request);
     exchange->handler = std::move(handler);
+    exchange->response = syntax::ExpectResponse(exchange->request.method);
     // Not kept for the next exchange: a handle keeps a pointer to the last
     // field of its last response, and libcurl 7.88 follows it if the next
     // response begins with a folded line.
@@ -354,7 +352,8 @@
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &exchange);
       const CURLcode code = message->data.result;
       this->Finish(exchange, EndFromCurlCode(*exchange, code),
-                   curl_easy_strerror(code));
+                   code == CURLE_OK ? "response ends within its head"
+                                    : curl_easy_strerror(code));
     }
   }
 
@@ -363,10 +362,10 @@
     const std::unique_ptr<Exchange> exchange = std::move(node.mapped());
     if (end == ExchangeEnd::kComplete) {
       NotifyResponseStart(exchange.get());
-    } else {
+    } else if (exchange->result.error.empty()) {
       exchange->result.error = error;
     }
-    StoreStatus(exchange.get());
+    StoreHead(exchange.get());
     curl_multi_remove_handle(this->multi, exchange->easy.get());
     exchange->easy.reset();
     exchange->result.end = end;
--- a/src/libhttp/http_test.cc
+++ b/src/libhttp/http_test.cc
@@ -12,6 +12,7 @@
 
 #include "cassiakeel/http/client.h"
 #include "cassiakeel/http/server.h"
+#include "cassiakeel/syntax/malformed_responses.h"
 
 namespace cassiakeel::http {
 namespace {
@@ -279,6 +280,95 @@
   RunExchange(io, **client, RequestTo(peer.Address(), "GET"));
 }
 
+// Guards against a malformed response, or one whose head ends early, that is
+// delivered as an answer.
+TEST_CASE("a response that breaks the protocol is kNoResponse") {
+  const auto responses = syntax::MalformedResponses("X: y\r\n");
+  RawPeer peer(responses);
+  asio::io_context io;
+  auto client = Client::Create(io);
+  for (const auto& response : responses) {
+    INFO(response);
+    const auto result =
+        RunExchange(io, **client, RequestTo(peer.Address(), "GET"));
+    CHECK(result.end == ExchangeEnd::kNoResponse);
+    CHECK_FALSE(result.error.empty());
+  }
+}
+
+// Guards against strictness that rejects what the protocol allows.
+TEST_CASE("unusual but valid responses are delivered") {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"HTTP/1.0 200 OK\r\n\r\nA", "A"},
+      {"HTTP/1.1 200 OK\r\nX: \t\xe9 \r\nContent-Length: 1\r\n\r\nA", "A"},
+      {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+       "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nA",
+       "A"},
+      {chunked + "\r\n1;a=\"b\"\r\nA\r\n00A\r\n0123456789\r\n0\r\nT: u\r\n\r\n",
+       "A0123456789"},
+      {chunked + "\r\n1\r\nA\r\n0\r\n\r\nstray", "A"},
+      {chunked + "\r\n0\r\n\r\n", ""},
+      {"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", ""},
+      {"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", ""},
+  };
+  std::vector<std::string> responses;
+  for (const auto& [response, body] : cases) {
+    responses.push_back(response);
+  }
+  RawPeer peer(responses);
+  asio::io_context io;
+  auto client = Client::Create(io);
+  for (const auto& [response, body] : cases) {
+    INFO(response);
+    const auto result =
+        RunExchange(io, **client, RequestTo(peer.Address(), "GET"));
+    CHECK(result.end == ExchangeEnd::kComplete);
+    CHECK(result.body == body);
+  }
+}
+
+// Guards against chunks that are lost or delivered twice when the transfer is
+// paused.
+TEST_CASE("a chunked response is streamed with pauses") {
+  std::string response =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string body;
+  for (int i = 0; i < 5000; ++i) {
+    auto chunk = std::to_string(i);
+    chunk.resize(16, ' ');
+    response += "10;n=1\r\n" + chunk + "\r\n";
+    body += chunk;
+  }
+  RawPeer peer({response + "0\r\n\r\n"});
+  asio::io_context io;
+  auto client = Client::Create(io);
+  std::string received;
+  int calls = 0;
+  std::optional<ExchangeResult> result;
+  ExchangeId id = 0;
+  asio::steady_timer timer(io);
+  ExchangeHandler handler;
+  handler.on_start = [](int, const HeaderList&) {};
+  handler.on_data = [&](std::string_view data) {
+    if (++calls % 2 == 1) {
+      timer.expires_after(milliseconds(1));
+      timer.async_wait([&](const auto&) { (*client)->Resume(id); });
+      return false;
+    }
+    received += data;
+    return true;
+  };
+  handler.on_end = [&](ExchangeResult ended) { result = std::move(ended); };
+  id = (*client)->Start(RequestTo(peer.Address(), "GET"), std::move(handler));
+  RunUntil(io, [&] { return result.has_value(); });
+  REQUIRE(result.has_value());
+  CHECK(result->end == ExchangeEnd::kComplete);
+  CHECK(received == body);
+  CHECK(calls > 2);
+}
+
 TEST_CASE("the server detects that the peer closed the connection") {
   asio::io_context io;
   bool closed = false;
--- a/src/libplatform/http_exchange.cc
+++ b/src/libplatform/http_exchange.cc
@@ -1,13 +1,13 @@
 #include "http_exchange.h"
 
 #include <curl/curl.h>
-#include <strings.h>
 
 #include <cstddef>
 #include <memory>
 #include <string_view>
 
 #include "cassiakeel/platform/platform.h"
+#include "cassiakeel/syntax/response.h"
 
 namespace cassiakeel::platform::pvt {
 
@@ -28,27 +28,35 @@
   }
 }
 
+/// What has arrived of a response.
+struct Transfer {
+  syntax::PartialResponse response;
+  std::string body;
+  /// Why the response is malformed.
+  std::string error;
+};
+
 std::size_t AppendBody(char* data, std::size_t, std::size_t size, void* out) {
-  auto& body = static_cast<HttpResponse*>(out)->body;
-  if (body.size() + size > kMaxResponseBytes) {
+  auto* transfer = static_cast<Transfer*>(out);
+  const auto content = syntax::TakeBody(transfer->response, {data, size});
+  if (!content) {
+    transfer->error = content.error().ToString();
     return 0;
   }
-  body.append(data, size);
+  if (transfer->body.size() + content->size() > kMaxResponseBytes) {
+    transfer->error = "response is too long";
+    return 0;
+  }
+  transfer->body.append(*content);
   return size;
 }
 
 std::size_t ReadHeader(char* data, std::size_t, std::size_t size, void* out) {
-  constexpr std::string_view kEtag = "etag:";
-  const std::string_view line(data, size);
-  if (line.size() >= kEtag.size() &&
-      strncasecmp(data, kEtag.data(), kEtag.size()) == 0) {
-    std::string_view value = line.substr(kEtag.size());
-    const auto first = value.find_first_not_of(" \t");
-    const auto last = value.find_last_not_of(" \t\r\n");
-    if (first != std::string_view::npos) {
-      static_cast<HttpResponse*>(out)->etag =
-          std::string(value.substr(first, last - first + 1));
-    }
+  auto* transfer = static_cast<Transfer*>(out);
+  const auto taken = syntax::TakeHeaderLine(transfer->response, {data, size});
+  if (!taken) {
+    transfer->error = taken.error().ToString();
+    return 0;
   }
   return size;
 }
@@ -83,6 +91,8 @@
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  // The chunked coding is checked and removed here.
+  curl_easy_setopt(handle, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(timeout.count()));
   curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.get());
@@ -134,18 +144,30 @@
   headers.Add("Expect:");
   headers.Add("Content-Type: application/octet-stream");
   const std::string url = "http://" + this->address.Value() + request.target;
-  HttpResponse response;
+  Transfer transfer;
+  transfer.response = syntax::ExpectResponse(request.method);
   SetOptions(handle.get(), request, url, this->timeout, headers);
   curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, AppendBody);
-  curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &response);
+  curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &transfer);
   curl_easy_setopt(handle.get(), CURLOPT_HEADERFUNCTION, ReadHeader);
-  curl_easy_setopt(handle.get(), CURLOPT_HEADERDATA, &response);
+  curl_easy_setopt(handle.get(), CURLOPT_HEADERDATA, &transfer);
   const CURLcode code = curl_easy_perform(handle.get());
-  if (code != CURLE_OK) {
-    this->Throw(request.step, curl_easy_strerror(code),
-                request.is_write && code != CURLE_COULDNT_CONNECT);
+  // libcurl takes a head that ends early for a whole response.
+  if (code == CURLE_OK && !syntax::IsWhole(transfer.response)) {
+    transfer.error = "response ends within its head";
+  }
+  if (code != CURLE_OK || !transfer.error.empty()) {
+    this->Throw(
+        request.step,
+        transfer.error.empty() ? curl_easy_strerror(code) : transfer.error,
+        request.is_write && code != CURLE_COULDNT_CONNECT);
+  }
+  HttpResponse response;
+  response.status = transfer.response.scan.start.status;
+  response.body = std::move(transfer.body);
+  if (const auto* etag = http::FindHeader(transfer.response.headers, "ETag")) {
+    response.etag = *etag;
   }
-  curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &response.status);
   if (response.status == kTooManyRequests) {
     this->Throw(request.step, "over the rate limit (429)", false);
   }
--- a/src/libplatform/platform_test.cc
+++ b/src/libplatform/platform_test.cc
@@ -7,6 +7,7 @@
 
 #include "cassiakeel/platform/http_platform.h"
 #include "cassiakeel/platform/memory_platform.h"
+#include "cassiakeel/syntax/malformed_responses.h"
 #include "platform_service.h"
 
 namespace cassiakeel::platform {
@@ -213,6 +214,21 @@
     OneShotServer server(StatusOnly("500 Internal Server Error"));
     CHECK(write_fails_with(server) == true);
   }
+  SECTION("answers that break the protocol") {
+    for (const auto& answer : syntax::MalformedResponses("X: y\r\n")) {
+      INFO(answer);
+      OneShotServer server(answer);
+      CHECK(write_fails_with(server) == true);
+      OneShotServer object_server(answer);
+      const auto client = object_server.Client();
+      CHECK(FailureOf([&] { client->objects().Get("o"); }) == false);
+    }
+    // The refusal would be believed if it were well-formed.
+    OneShotServer server(
+        "HTTP/1.1 503 Service Unavailable\r\nA B: c\r\n"
+        "Content-Length: 0\r\n\r\n");
+    CHECK(write_fails_with(server) == true);
+  }
   SECTION("rate limit") {
     OneShotServer server(StatusOnly("429 Too Many Requests"));
     CHECK(write_fails_with(server) == false);
--- a/src/libsyntax/syntax_test.cc
+++ b/src/libsyntax/syntax_test.cc
@@ -4,7 +4,9 @@
 #include <string>
 #include <vector>
 
+#include "cassiakeel/syntax/malformed_responses.h"
 #include "cassiakeel/syntax/message.h"
+#include "cassiakeel/syntax/response.h"
 #include "cassiakeel/syntax/scan.h"
 
 namespace cassiakeel::syntax {
@@ -243,6 +245,56 @@
   CHECK_FALSE(CheckRequest("\nGET / HTTP/1.1\r\n\r\n").valid);
 }
 
+// Guards against a response that a transfer library calls complete although its
+// head is malformed or ends early.
+TEST_CASE("header lines and body bytes are put together to a response") {
+  auto response = ExpectResponse("GET");
+  for (const char* line :
+       {"HTTP/1.1 103 Early Hints\r\n", "A: b\r\n", "\r\n"}) {
+    CHECK(TakeHeaderLine(response, line));
+  }
+  CHECK_FALSE(IsWhole(response));
+  for (const char* line :
+       {"HTTP/1.1 200 OK\r\n", "C: d \r\n", "Transfer-Encoding: chunked\r\n"}) {
+    CHECK(TakeHeaderLine(response, line));
+    CHECK_FALSE(IsWhole(response));
+  }
+  CHECK_FALSE(TakeBody(response, "1\r\n"));
+  CHECK(TakeHeaderLine(response, "\r\n"));
+  CHECK(response.headers ==
+        http::HeaderList{{"C", "d"}, {"Transfer-Encoding", "chunked"}});
+  CHECK(TakeBody(response, "2\r\na").value_or("") == "a");
+  CHECK(TakeBody(response, "b\r\n1\r\nc\r\n").value_or("") == "bc");
+  CHECK_FALSE(IsWhole(response));
+  CHECK(TakeBody(response, "0\r\n\r\n").value_or("x").empty());
+  CHECK(IsWhole(response));
+  CHECK_FALSE(response.has_stray_bytes);
+  CHECK(TakeBody(response, "HTTP/1.1 200 OK").value_or("x").empty());
+  CHECK(response.has_stray_bytes);
+  CHECK_FALSE(TakeHeaderLine(response, "E: f\r\n"));
+
+  auto without_line_end = ExpectResponse("GET");
+  CHECK_FALSE(TakeHeaderLine(without_line_end, "HTTP/1.1 200 OK"));
+  auto endless = ExpectResponse("GET");
+  bool fits = true;
+  for (int i = 0; fits && i < 100000; ++i) {
+    fits = TakeHeaderLine(endless, "HTTP/1.1 100 Continue\r\n") &&
+           TakeHeaderLine(endless, "\r\n");
+  }
+  CHECK_FALSE(fits);
+}
+
+TEST_CASE("the malformed responses for the tests of readers are malformed") {
+  for (const auto& text : MalformedResponses("A: b\r\n")) {
+    INFO(text);
+    auto checked = CheckResponse(text);
+    if (text.starts_with("HTTP/1.1 103")) {
+      checked = CheckResponse(text.substr(checked.used));
+    }
+    CHECK_FALSE(checked.complete);
+  }
+}
+
 // Guards against a line that costs memory without end, and a verdict that
 // depends on how the bytes arrive.
 TEST_CASE("the verdict does not depend on the pieces in which bytes arrive") {
