Write responses without content as their status and method ask

Seen by callers: each answer to HEAD, and each 204 and 304, came with "Content-Length: 0", whatever the backend server had said.

Cause: the server of libh1 wrote the size of the body it had as the length. RFC 9110, section 8.6, excludes the field for 204 and asks for the length of the answer to GET, or none, for HEAD and 304.

Change: Response carries that length from the reader through the nodes to the writer, and LengthToSend decides whether the field is written and with what.

--- a/src/include/cassiakeel/h1/message.h
+++ b/src/include/cassiakeel/h1/message.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,8 +30,17 @@
   int status = 0;
   HeaderList headers;
   std::string body;
+  /// `Content-Length` of a response that has no content and yet tells the
+  /// length of a response to GET: one to HEAD, or with the status 304.
+  std::optional<std::uint64_t> get_length = {};
 };
 
+/// Value of `Content-Length` in a response (RFC 9110, section 8.6), or nothing
+/// if the response has no such field. `to_head` means that it answers a HEAD
+/// request.
+std::optional<std::uint64_t> LengthToSend(const Response& response,
+                                          bool to_head);
+
 /// Upper bounds on the size of a received message.
 struct MessageLimits {
   std::size_t header_bytes = 16U << 10U;
--- a/src/libh1/client_connection.cc
+++ b/src/libh1/client_connection.cc
@@ -312,7 +312,7 @@
 void ClientConnection::Deliver(bool reusable) {
   FetchResult result{FetchEnd::kComplete,
                      {this->parser.status, std::move(this->parser.headers),
-                      std::move(this->parser.body)},
+                      std::move(this->parser.body), this->parser.get_length()},
                      {},
                      this->fresh};
   this->timeout.Cancel();
--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -220,6 +220,36 @@
   }
 }
 
+// Guards against a connection that is read out of step after a response without
+// content.
+TEST_CASE("the length in a response without content is kept and not read") {
+  TestLoop loop;
+  RawServer server([](tcp::socket& socket) {
+    for (const std::string status : {"200 OK", "304 Not Modified"}) {
+      const auto head = ReadHead(socket);
+      const auto id = head.substr(head.find("Id: ") + 4, 1);
+      Reply(socket, "HTTP/1.1 " + status + "\r\nId: " + id +
+                        "\r\nContent-Length: 9\r\n\r\n");
+    }
+    ReadHead(socket);
+    Reply(socket, "HTTP/1.1 200 OK\r\nId: 3\r\nContent-Length: 1\r\n\r\nA");
+  });
+  const auto client = Client::Create(loop.io_context, loop.timers, {});
+  auto fetch = GetFrom(loop, server.address(), "1");
+  fetch.request.method = "HEAD";
+  const auto head = Run(loop, *client, std::move(fetch));
+  CHECK(head.end == FetchEnd::kComplete);
+  CHECK(head.response.get_length == 9U);
+  const auto unchanged =
+      Run(loop, *client, GetFrom(loop, server.address(), "2"));
+  CHECK(unchanged.end == FetchEnd::kComplete);
+  CHECK(unchanged.response.get_length == 9U);
+  const auto last = Run(loop, *client, GetFrom(loop, server.address(), "3"));
+  CHECK(last.response.body == "A");
+  CHECK_FALSE(last.response.get_length);
+  CHECK(client->connections_opened() == 1);
+}
+
 // Guards against strictness that rejects what the protocol allows.
 TEST_CASE("unusual but valid responses are delivered") {
   const std::string chunked =
--- a/src/libh1/h1_test.cc
+++ b/src/libh1/h1_test.cc
@@ -143,6 +143,42 @@
   }
 }
 
+// Guards against a length or content that the status or the method excludes;
+// the reader would take the next response for content, or wait for content that
+// never comes (RFC 9110, section 8.6; RFC 9112, section 6.3).
+TEST_CASE("a response is written as its status and method allow") {
+  TestLoop loop;
+  Response next;
+  const auto server = loop.Serve([&next](std::shared_ptr<Exchange> exchange) {
+    exchange->Respond(next, true);
+  });
+  const auto answer_to = [&loop, &next](const std::string& method,
+                                        Response response) {
+    next = std::move(response);
+    return SendAndReceive(loop, method + " / HTTP/1.1\r\nHost: h\r\n\r\n");
+  };
+  const std::string close = "Connection: close\r\n\r\n";
+  CHECK(answer_to("GET", {200, {}, "abc"}) ==
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + close + "abc");
+  CHECK(answer_to("GET", {503, {}, {}}) ==
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" + close);
+  CHECK(answer_to("GET", {204, {{"A", "b"}}, {}}) ==
+        "HTTP/1.1 204 No Content\r\nA: b\r\n" + close);
+  CHECK(answer_to("GET", {205, {}, {}}) ==
+        "HTTP/1.1 205 Reset Content\r\nContent-Length: 0\r\n" + close);
+  CHECK(answer_to("GET", {304, {}, {}}) ==
+        "HTTP/1.1 304 Not Modified\r\n" + close);
+  CHECK(answer_to("GET", {304, {}, {}, 9}) ==
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n" + close);
+  CHECK(answer_to("HEAD", {200, {}, {}, 9}) ==
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n" + close);
+  CHECK(answer_to("HEAD", {200, {}, {}}) == "HTTP/1.1 200 OK\r\n" + close);
+  CHECK(answer_to("HEAD", {200, {}, "abc"}) ==
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + close);
+  CHECK(answer_to("HEAD", {204, {}, {}}) ==
+        "HTTP/1.1 204 No Content\r\n" + close);
+}
+
 TEST_CASE("pipelined requests are answered in order") {
   TestLoop loop;
   const auto server = loop.Serve([](std::shared_ptr<Exchange> exchange) {
--- a/src/libh1/message.cc
+++ b/src/libh1/message.cc
@@ -6,6 +6,8 @@
 #include <array>
 #include <vector>
 
+#include "cassiakeel/syntax/message.h"
+
 namespace cassiakeel::h1 {
 namespace {
 
@@ -37,6 +39,18 @@
 
 }  // namespace
 
+std::optional<std::uint64_t> LengthToSend(const Response& response,
+                                          bool to_head) {
+  if (syntax::MayHaveContent(response.status, to_head)) {
+    return response.body.size();
+  }
+  // A handler may have made the content that a GET gets.
+  if (to_head && !response.get_length && !response.body.empty()) {
+    return response.body.size();
+  }
+  return response.get_length;
+}
+
 bool IsConnectionField(std::string_view name) {
   return std::any_of(
       kConnectionFields.begin(), kConnectionFields.end(),
--- a/src/libh1/parser.h
+++ b/src/libh1/parser.h
@@ -3,6 +3,8 @@
 #include <http_parser.h>
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -47,6 +49,12 @@
   bool expects_continue() const;
   /// Length of the body as the header gives it; 0 if it gives none.
   std::size_t declared_body_bytes() const { return this->declared_bytes; }
+  /// `Content-Length` of a response that has no content.
+  std::optional<std::uint64_t> get_length() const {
+    return this->scan.framing.end == syntax::BodyEnd::kNone
+               ? this->scan.fields.content_length
+               : std::nullopt;
+  }
   /// Memory that the parsed part of the current message holds.
   std::size_t buffered_bytes() const {
     return this->header_bytes + this->body.size() +
--- a/src/libh1/server_connection.cc
+++ b/src/libh1/server_connection.cc
@@ -290,12 +290,13 @@
       .append(ReasonPhrase(response.status))
       .append("\r\n");
   AppendFields(out, response.headers);
-  out.append("Content-Length: ")
-      .append(std::to_string(response.body.size()))
-      .append(this->close_after_response ? "\r\nConnection: close\r\n\r\n"
-                                         : "\r\n\r\n");
+  if (const auto length = LengthToSend(response, this->head_request)) {
+    out.append("Content-Length: ").append(std::to_string(*length));
+    out.append("\r\n");
+  }
+  out.append(this->close_after_response ? "Connection: close\r\n\r\n" : "\r\n");
   this->outgoing = {std::move(out), {}};
-  if (!this->head_request) {
+  if (syntax::MayHaveContent(response.status, this->head_request)) {
     this->outgoing.body = Body(std::move(response.body));
   }
   this->writing = true;
--- a/testsuite/harness/broken_answers.py
+++ b/testsuite/harness/broken_answers.py
@@ -70,6 +70,14 @@
         CHUNKED + b"2;a=\"b\"\r\nbr\r\n04\r\noken\r\n0\r\nA: b\r\n\r\n",
     "no length": OK + b"\r\nbroken",
 }
+# Method, response of the server, and the length field that the client gets.
+RESPONSES_WITHOUT_CONTENT = (
+    ("HEAD", OK + b"Content-Length: 9\r\n\r\n", "9"),
+    ("HEAD", OK + b"\r\n", None),
+    ("GET", b"HTTP/1.1 204 No Content\r\n" + FIELDS + b"\r\n", None),
+    ("GET", b"HTTP/1.1 304 Not Modified\r\n" + FIELDS + b"\r\n", None),
+    ("GET", b"HTTP/1.1 304 X\r\n" + FIELDS + b"Content-Length: 9\r\n\r\n", "9"),
+)
 REFUSAL = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
 
 
@@ -150,6 +158,33 @@
                             f"{name}, {kind}: ran {backend.runs[attempt]} times")
 
 
+async def check_responses_without_content(node, backend, findings):
+    """Sends the requests on one connection, which a wrong length would put out of
+    step."""
+    host, port = node.outbound.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for number, (method, response, length) in enumerate(RESPONSES_WITHOUT_CONTENT):
+        attempt = f"{node.name}-without-{number}"
+        backend.responses[attempt] = response.replace(b"ID", attempt.encode())
+        writer.write((f"{method} /s0/safe/{attempt} HTTP/1.1\r\nHost: h\r\n"
+                      f"X-Attempt-Id: {attempt}\r\nX-Timeout-Ms: {TIMEOUT_MS}\r\n"
+                      "\r\n").encode())
+        try:
+            async with asyncio.timeout(4):
+                head = await reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, OSError):
+            findings.expect(False, f"{method} {response}: got no answer")
+            break
+        status, *fields = head.decode("latin-1").split("\r\n")
+        lengths = [field.split(": ")[1] for field in fields
+                   if field.lower().startswith("content-length")]
+        findings.expect(
+            status.split(" ")[1] == response.split(b" ")[1].decode()
+            and lengths == ([length] if length else []),
+            f"{method} {response}: got {head}")
+    writer.close()
+
+
 async def check_repeated_refusals(node, backend, findings):
     before = backend.repeated_refusals
     for number in range(REPEATED_REFUSALS):
@@ -184,6 +219,7 @@
     for node in (near, far):
         await check_responses(node, backend, BROKEN_RESPONSES, is_failure, findings)
         await check_responses(node, backend, VALID_RESPONSES, is_success, findings)
+        await check_responses_without_content(node, backend, findings)
         await check_repeated_refusals(node, backend, findings)
         findings.expect(node.process.poll() is None, f"{node.name} has ended")
     await soak.end()
