--- a/src/libmesh/malformed_input_test.cc
+++ b/src/libmesh/malformed_input_test.cc
@@ -5,6 +5,7 @@
 #include "cassiakeel/mesh/control.h"
 #include "cassiakeel/mesh/registrar.h"
 #include "cassiakeel/mesh/run_loop.h"
+#include "cassiakeel/syntax/malformed_responses.h"
 #include "mesh_test_support.h"
 #include "peer_state.h"
 
@@ -21,9 +22,11 @@
   // Returns the bytes to send for request number `index` with the id `attempt`.
   using Reply = std::function<std::string(int index, const std::string& id)>;
 
-  explicit RawPeer(Reply reply)
+  // With `close`, it closes each connection after one response.
+  explicit RawPeer(Reply reply, bool close = false)
       : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0}),
         reply(std::move(reply)),
+        close(close),
         thread([this] { this->Run(); }) {}
   ~RawPeer() {
     this->stopped = true;
@@ -52,6 +55,9 @@
         const auto at = head.find("Attempt: ") + 9;
         const auto id = head.substr(at, head.find("\r\n", at) - at);
         asio::write(socket, asio::buffer(this->reply(index++, id)), error);
+        if (this->close) {
+          break;
+        }
       }
     }
   }
@@ -70,6 +76,7 @@
   asio::io_context context;
   tcp::acceptor acceptor;
   Reply reply;
+  bool close;
   std::atomic<bool> stopped{false};
   std::thread thread;
 };
@@ -84,6 +91,16 @@
          "\r\n\r\n" + id;
 }
 
+DirectoryEntry EntryOf(const RawPeer& peer) {
+  DirectoryEntry entry;
+  entry.node = NodeId("b");
+  entry.address = peer.address();
+  entry.zone = ZoneName("zone");
+  entry.service = ServiceName("back");
+  entry.instance = InstanceId("i-b");
+  return entry;
+}
+
 }  // namespace
 
 // Guards against a response of another request reaching a caller, if a node
@@ -95,18 +112,47 @@
   });
   TestMesh mesh;
   mesh.AddNode("a", "front");
-  DirectoryEntry entry;
-  entry.node = NodeId("b");
-  entry.address = peer.address();
-  entry.zone = ZoneName("zone");
-  entry.service = ServiceName("back");
-  entry.instance = InstanceId("i-b");
-  mesh.directory[entry.node] = entry;
+  mesh.directory[NodeId("b")] = EntryOf(peer);
   mesh.Publish({TestMesh::MakeRoute("back", true)});
   CHECK(mesh.Call("a", "/back/1", "first").response.body == "first");
   CHECK(mesh.Call("a", "/back/1", "second").response.body == "second");
 }
 
+// Guards against a malformed response of a node that reaches a caller, or that
+// is taken for a refusal of a call that may have run.
+TEST_CASE("a peer's response that breaks the protocol is a failure") {
+  ServeResult ran;
+  ran.outcome = Outcome::kRan;
+  ServeResult refused;
+  refused.reason = Reason::kOverload;
+  for (const auto& result : {ran, refused}) {
+    const auto responses = syntax::MalformedResponses(
+        "Attempt: 1\r\nSignature: s\r\n" + std::string(kResultField) + ": " +
+        FormatResult(result) + "\r\n");
+    std::vector<std::string> texts;
+    for (const auto& text : responses) {
+      if (text.find("Signature: s\r\n") != std::string::npos) {
+        texts.push_back(text);
+      }
+    }
+    std::size_t next = 0;
+    RawPeer peer(
+        [&next, &texts](int, const std::string&) {
+          return texts[next++ % texts.size()];
+        },
+        true);
+    TestMesh mesh;
+    mesh.AddNode("a", "front");
+    mesh.directory[NodeId("b")] = EntryOf(peer);
+    mesh.Publish({TestMesh::MakeRoute("back", false)});
+    for (std::size_t i = 0; i < texts.size(); ++i) {
+      INFO(texts[i]);
+      CHECK(mesh.Call("a", "/back/1", "1").response.status == 502);
+    }
+    CHECK(next == texts.size());
+  }
+}
+
 // Guards against one message that ends the process, and with it all requests
 // in progress.
 TEST_CASE("an exception in a handler does not end the loop") {
