Check the requests that RESTinio reads

Seen: cassiakeeld served requests with blanks and control bytes in field names, folded lines, a second Host, unknown transfer codings or malformed chunks.

Cause: RESTinio parses with http_parser, which accepts them.

Change: the connections of libhttp's server read through a socket that applies the checks of libsyntax to the same bytes. At the first violation the connection is closed; the first request on a connection also gets 400, a later one does not, because that could be taken for the answer to an earlier request.

--- a/src/libhttp/http_test.cc
+++ b/src/libhttp/http_test.cc
@@ -170,6 +170,35 @@
   std::thread thread;
 };
 
+/// Sends `bytes` and returns what comes back until the connection is closed or
+/// nothing has come for 100 ms.
+std::string SendRaw(asio::io_context& io,
+                    const PeerAddress& address,
+                    const std::string& bytes) {
+  const auto& text = address.Value();
+  asio::ip::tcp::socket socket(io);
+  socket.connect(
+      {asio::ip::address_v4::loopback(),
+       static_cast<std::uint16_t>(std::stoi(text.substr(text.find(':') + 1)))});
+  asio::write(socket, asio::buffer(bytes));
+  socket.non_blocking(true);
+  std::string received;
+  auto end = std::chrono::steady_clock::now() + milliseconds(100);
+  asio::error_code error;
+  while (std::chrono::steady_clock::now() < end &&
+         (!error || error == asio::error::would_block)) {
+    io.restart();
+    io.run_for(milliseconds(5));
+    std::array<char, 4096> buffer{};
+    const auto count = socket.read_some(asio::buffer(buffer), error);
+    received.append(buffer.data(), error ? 0 : count);
+    if (!error) {
+      end = std::chrono::steady_clock::now() + milliseconds(100);
+    }
+  }
+  return received;
+}
+
 }  // namespace
 
 TEST_CASE("request and response are transferred completely") {
@@ -369,6 +398,52 @@
   CHECK(calls > 2);
 }
 
+// Guards against a request that this server and another reader understand
+// differently, and against a rejection that answers an earlier request.
+TEST_CASE("a request that breaks the protocol is not served") {
+  ServerOptions options;
+  options.listen = FreeAddress();
+  asio::io_context io;
+  int served = 0;
+  auto server = Server::Create(io, options, [&](ServerRequest request) {
+    ++served;
+    request.responder->Send(200, {}, request.body);
+  });
+  REQUIRE(server);
+  const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  const std::string end = "Content-Length: 1\r\n\r\nA";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::string> malformed = {
+      head + "A B: c\r\n" + end,
+      head + "A : b\r\n" + end,
+      head + "A\x01: b\r\n" + end,
+      head + "A: \x01\r\n" + end,
+      head + "A: b\r\n folded\r\n" + end,
+      head + "Content-Length : 1\r\n\r\nA",
+      head + "A: b\n" + end,
+      head + "Host: i\r\n" + end,
+      "POST /a HTTP/2.0\r\nHost: h\r\n" + end,
+      "POST /a\tb HTTP/1.1\r\nHost: h\r\n" + end,
+      head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      chunked + "1\r\nAXX0\r\n\r\n",
+      chunked + "1 x\r\nA\r\n0\r\n\r\n"};
+  for (const auto& request : malformed) {
+    INFO(request);
+    const auto response = SendRaw(io, options.listen, request);
+    CHECK((response.empty() || response.starts_with("HTTP/1.1 400")));
+  }
+  CHECK(served == 0);
+  CHECK(SendRaw(io, options.listen, malformed[0]).starts_with("HTTP/1.1 400"));
+  const auto answer =
+      SendRaw(io, options.listen, head + end + head + "A B: c\r\n" + end);
+  CHECK(answer.find("400") == std::string::npos);
+  CHECK(SendRaw(io, options.listen,
+                "\r\n" + chunked + "1;a=b\r\nA\r\n0\r\nT: u\r\n\r\n")
+            .ends_with("\r\n\r\nA"));
+  CHECK(SendRaw(io, options.listen, head + end + head + end).size() >
+        SendRaw(io, options.listen, head + end).size());
+}
+
 TEST_CASE("the server detects that the peer closed the connection") {
   asio::io_context io;
   bool closed = false;
--- a/src/libhttp/server.cc
+++ b/src/libhttp/server.cc
@@ -5,6 +5,8 @@
 #include <restinio/all.hpp>
 #include <unordered_map>
 
+#include "cassiakeel/syntax/scan.h"
+
 namespace cassiakeel::http {
 namespace {
 
@@ -48,8 +50,75 @@
       callbacks;
 };
 
+/// Checks the requests that are read through it. RESTinio's parser accepts more
+/// than the grammar allows. At the first violation the connection is closed as
+/// after a read error.
+class CheckedSocket : public asio::ip::tcp::socket {
+ public:
+  using asio::ip::tcp::socket::socket;
+
+  // Called by RESTinio, which keeps the socket until the handler has run.
+  template <typename Buffer, typename Handler>
+  void async_read_some(const Buffer& buffer, Handler handler) {
+    const auto executor = asio::get_associated_executor(handler);
+    asio::ip::tcp::socket::async_read_some(
+        buffer, asio::bind_executor(executor, [this, buffer,
+                                               handler = std::move(handler)](
+                                                  asio::error_code error,
+                                                  std::size_t size) mutable {
+          if (!error &&
+              !this->Check({static_cast<const char*>(buffer.data()), size})) {
+            this->Reject();
+            error = asio::error::invalid_argument;
+          }
+          handler(error, size);
+        }));
+  }
+
+ private:
+  bool Check(std::string_view bytes) {
+    while (!bytes.empty()) {
+      if (this->scan.part == syntax::ScanPart::kComplete) {
+        this->scan = NewScan();
+        this->is_first = false;
+      }
+      const auto step = syntax::Advance(this->scan, bytes);
+      if (!step) {
+        return false;
+      }
+      bytes.remove_prefix(step->used);
+    }
+    return true;
+  }
+
+  // Behind another request, the response could be taken for the response to
+  // that one.
+  void Reject() {
+    if (this->is_first) {
+      asio::error_code ignored;
+      this->write_some(asio::buffer(kBadRequest.data(), kBadRequest.size()),
+                       ignored);
+    }
+  }
+
+  static syntax::Scan NewScan() {
+    syntax::Scan scan;
+    scan.kind = syntax::MessageKind::kRequest;
+    return scan;
+  }
+
+  static constexpr std::string_view kBadRequest =
+      "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n"
+      "Connection: close\r\n\r\n";
+
+  syntax::Scan scan = NewScan();
+  /// No request has been read before the one that `scan` checks.
+  bool is_first = true;
+};
+
 struct Traits : public restinio::default_single_thread_traits_t {
   using connection_state_listener_t = ConnectionListener;
+  using stream_socket_t = CheckedSocket;
 };
 
 using RestinioServer = restinio::http_server_t<Traits>;
