--- a/src/libhttp/http_test.cc
+++ b/src/libhttp/http_test.cc
@@ -444,6 +444,28 @@
         SendRaw(io, options.listen, head + end).size());
 }
 
+// Guards against a length or content that the status or the method excludes.
+TEST_CASE("a response without content has neither a length nor content") {
+  ServerOptions options;
+  options.listen = FreeAddress();
+  asio::io_context io;
+  auto server = Server::Create(io, options, [&](ServerRequest request) {
+    request.responder->Send(std::stoi(request.path.substr(1)), {{"A", "b"}},
+                            request.method == "HEAD" ? "content" : "");
+  });
+  REQUIRE(server);
+  for (const std::string start :
+       {"GET /204", "GET /304", "HEAD /200", "HEAD /503"}) {
+    INFO(start);
+    const auto request = start + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto response = SendRaw(io, options.listen, request + request);
+    CHECK(response.find("Content-Length") == std::string::npos);
+    CHECK(response.ends_with("A: b\r\n\r\n"));
+    // The connection was kept.
+    CHECK(response.rfind("HTTP/1.1 " + start.substr(start.find('/') + 1)) > 0);
+  }
+}
+
 TEST_CASE("the server detects that the peer closed the connection") {
   asio::io_context io;
   bool closed = false;
--- a/src/libhttp/server.cc
+++ b/src/libhttp/server.cc
@@ -158,6 +158,12 @@
 
   void Send(int status, HeaderList headers, std::string body) override {
     this->listener->Remove(this->request->connection_id());
+    const bool to_head =
+        this->request->header().method() == restinio::http_method_head();
+    if (!syntax::MayHaveContent(status, to_head)) {
+      this->SendWithoutContent(status, headers);
+      return;
+    }
     auto response = this->request->create_response(StatusLine(status));
     this->ApplyHeaders(response, headers);
     response.set_body(std::move(body));
@@ -201,6 +207,29 @@
   using StreamBuilder =
       restinio::response_builder_t<restinio::user_controlled_output_t>;
 
+  // The builders of RESTinio write a length into each response, which a 204
+  // must not have and which would be wrong for HEAD and 304.
+  void SendWithoutContent(int status, const HeaderList& headers) {
+    restinio::http_response_header_t header(StatusLine(status));
+    const bool keep_alive = this->request->header().should_keep_alive();
+    header.should_keep_alive(keep_alive);
+    for (const auto& [name, value] : headers) {
+      header.append_field(name, value);
+    }
+    restinio::writable_items_container_t items;
+    items.emplace_back(restinio::impl::create_header_string(
+        header,
+        restinio::impl::content_length_field_presence_t::skip_content_length));
+    auto connection =
+        std::move(restinio::impl::access_req_connection(*this->request));
+    connection->write_response_parts(
+        this->request->request_id(),
+        restinio::response_output_flags_t{
+            restinio::response_parts_attr_t::final_parts,
+            restinio::response_connection_attr(keep_alive)},
+        restinio::write_group_t{std::move(items)});
+  }
+
   template <typename Response>
   void ApplyHeaders(Response& response, const HeaderList& headers) {
     if (!this->request->header().should_keep_alive()) {
