Take only the field for a promise that non-idempotent work has not run

Seen by callers: 408, 429 or 503 for a non-idempotent request that the backend server had run.

Cause: the gate knew a refusal by the field that says so (X-Not-Executed on the users' platform) and by 421, but passed on a response with another of these statuses and without the field. To the client the status alone is the promise.

Change: such a response to a non-idempotent call is a failure after which it may have run: 502 without the server's signature, and no second attempt. Idempotent calls are unchanged.

--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -1,6 +1,7 @@
 #include "backend_gate.h"
 
 #include <algorithm>
+#include <array>
 
 #include "cassiakeel/base/hash.h"
 #include "memory_limits.h"
@@ -38,6 +39,8 @@
 // With fewer slots, one unused slot would be more than a tenth of the capacity.
 constexpr int kMinSlotsToReserve = 10;
 constexpr int kFirstServerError = 500;
+// Statuses that tell a client that its request has not run and never will.
+constexpr std::array<int, 4> kNotRunStatuses = {408, 421, 429, 503};
 // Share of the target latency that a call may spend in the queue.
 constexpr double kMaxQueueWaitShare = 0.5;
 // Tolerance when a call is matched to its parent by deadline: the time to the
@@ -338,6 +341,13 @@
   if (fetch.response.status / 100 == 2 && !is_signed) {
     return ResultWithoutResponse(fetch.end);
   }
+  // Only the field above says that the call has not run.
+  const bool promises_not_run =
+      std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(),
+                fetch.response.status) != kNotRunStatuses.end();
+  if (promises_not_run && !call.request.info.idempotent) {
+    return ResultWithoutResponse(fetch.end);
+  }
   result.outcome = Outcome::kRan;
   result.response = std::move(fetch.response);
   h1::RemoveConnectionFields(result.response.headers);
--- a/src/libmesh/traffic_test.cc
+++ b/src/libmesh/traffic_test.cc
@@ -174,6 +174,33 @@
   CHECK(backend.runs == 4);
 }
 
+// Guards against a promise to the caller that its request has not run, which
+// the server, by leaving out the field, did not give.
+TEST_CASE("a status alone does not tell that non-idempotent work has not run") {
+  int status = 503;
+  FakeBackend backend([&](const std::shared_ptr<h1::Exchange>& exchange) {
+    auto response = FakeBackend::Success(exchange->request());
+    response.status = status;
+    exchange->Respond(std::move(response));
+  });
+  TestMesh mesh;
+  mesh.AddNode("a", "back");
+  mesh.AddNode("b", "front");
+  mesh.SetBackend("a", backend);
+  mesh.Publish({TestMesh::MakeRoute("back", false)});
+  int calls = 0;
+  for (const int refusal : {408, 429, 503}) {
+    for (const char* node : {"a", "b"}) {
+      status = refusal;
+      const auto id = "id-" + std::to_string(++calls);
+      const auto response = mesh.Call(node, "/back/1", id).response;
+      CHECK(response.status == 502);
+      CHECK(h1::FindHeader(response.headers, "Signature") == nullptr);
+      CHECK(backend.runs == calls);
+    }
+  }
+}
+
 TEST_CASE("a request is sent to at most as many servers as its route allows") {
   FakeBackend second(RespondOk);
   TestMesh mesh;
