--- a/src/include/cassiakeel/http/client.h
+++ b/src/include/cassiakeel/http/client.h
@@ -28,6 +28,9 @@
   /// Longest time without a received byte in a streamed response; bounds how
   /// long a silent connection holds a long transfer.
   std::chrono::seconds stall_timeout{10};
+  /// Whether the connection may carry another request after a response with
+  /// these fields; if empty, it may after each.
+  std::function<bool(const HeaderList& headers)> keeps_connection = {};
 };
 
 /// How an exchange ended.
--- a/src/include/cassiakeel/syntax/response.h
+++ b/src/include/cassiakeel/syntax/response.h
@@ -30,6 +30,9 @@
 /// the heads exceed 64 KiB.
 Result<void> TakeHeaderLine(PartialResponse& response, std::string_view line);
 
+/// Whether the head of the final response is complete.
+bool HasFinalHead(const PartialResponse& response);
+
 /// Takes bytes of the body and returns the content in them. Fails if they are
 /// malformed. Bytes beyond the end are left out.
 Result<std::string> TakeBody(PartialResponse& response, std::string_view bytes);
--- a/src/libhttp/client.cc
+++ b/src/libhttp/client.cc
@@ -48,6 +48,11 @@
   bool start_notified = false;
 };
 
+// libcurl looks at the option when the transfer ends.
+void CloseAfterwards(Exchange* exchange) {
+  curl_easy_setopt(exchange->easy.get(), CURLOPT_FORBID_REUSE, 1L);
+}
+
 std::size_t OnHeader(char* data, std::size_t, std::size_t size, void* arg) {
   auto* exchange = static_cast<Exchange*>(arg);
   const auto taken = syntax::TakeHeaderLine(exchange->response, {data, size});
@@ -55,6 +60,11 @@
     exchange->result.error = taken.error().ToString();
     return kAbortTransfer;
   }
+  const auto& keeps_connection = exchange->request.keeps_connection;
+  if (syntax::HasFinalHead(exchange->response) && keeps_connection &&
+      !keeps_connection(exchange->response.headers)) {
+    CloseAfterwards(exchange);
+  }
   return size;
 }
 
@@ -81,7 +91,7 @@
     return kAbortTransfer;
   }
   if (exchange->response.has_stray_bytes) {
-    curl_easy_setopt(exchange->easy.get(), CURLOPT_FORBID_REUSE, 1L);
+    CloseAfterwards(exchange);
   }
   if (exchange->handler.on_data) {
     NotifyResponseStart(exchange);
--- a/src/libhttp/http_test.cc
+++ b/src/libhttp/http_test.cc
@@ -76,6 +76,7 @@
                        std::to_string(this->acceptor.local_endpoint().port()));
   }
   int requests = 0;
+  int connections = 0;
 
  private:
   struct Connection {
@@ -89,6 +90,7 @@
     this->acceptor.async_accept(connection->socket,
                                 [this, connection](const auto& error) {
                                   if (!error) {
+                                    ++this->connections;
                                     this->Read(connection);
                                     this->Accept();
                                   }
@@ -246,6 +248,21 @@
   CHECK(peer.requests == 2);
 }
 
+TEST_CASE("the fields of a response can rule out the reuse of its connection") {
+  asio::io_context io;
+  ScriptedPeer peer(io, {});
+  auto client = Client::Create(io);
+  for (const bool keeps : {true, true, false, true}) {
+    auto request = RequestTo(peer.Address(), "POST");
+    request.keeps_connection = [keeps](const HeaderList& headers) {
+      return keeps && FindHeader(headers, "Content-Length") != nullptr;
+    };
+    CHECK(RunExchange(io, **client, std::move(request)).end ==
+          ExchangeEnd::kComplete);
+  }
+  CHECK(peer.connections == 2);
+}
+
 TEST_CASE("a request times out if the peer does not respond") {
   asio::io_context io;
   asio::ip::tcp::acceptor silent(io, {asio::ip::address_v4::loopback(), 0});
--- a/src/libnode/node_test.cc
+++ b/src/libnode/node_test.cc
@@ -1,6 +1,10 @@
 #define CATCH_CONFIG_MAIN
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <fstream>
+#include <future>
 #include <iterator>
 #include <regex>
 
@@ -158,6 +162,68 @@
   }
 }
 
+// Guards against an earlier refusal that a backend server sends once more, on a
+// kept connection, and that is taken for the outcome of the next call, which
+// runs.
+TEST_CASE("a repeated refusal does not reach the next call") {
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  const auto port = std::to_string(acceptor.local_endpoint().port());
+  std::thread backend([&] {
+    const std::string end = "Content-Length: 0\r\n\r\n";
+    const std::string refusal =
+        "HTTP/1.1 503 Full\r\n" + std::string(routing::kOutcomeHeader) + ": " +
+        std::string(OutcomeName(Outcome::kNotRun)) + "\r\n" + end;
+    for (const bool refuses : {true, false}) {
+      asio::ip::tcp::socket socket(io);
+      acceptor.accept(socket);
+      std::string request;
+      asio::error_code error;
+      asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                       error);
+      asio::write(socket,
+                  asio::buffer(refuses ? refusal : "HTTP/1.1 200 OK\r\n" + end),
+                  error);
+      request.clear();
+      asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                       error);
+      if (!error) {
+        asio::write(socket, asio::buffer(refusal), error);
+        return;
+      }
+    }
+  });
+  const SystemClock clock;
+  auto thread = *TrafficThread::Create(1);
+  thread->Run();
+  ServingEndpoint serving(clock, *thread);
+  serving.Announce(
+      {ServiceName("board"), PeerAddress("127.0.0.1:" + port), Slots(4)});
+  policy::KindPolicy kind;
+  kind.idempotent = true;
+  std::vector<Outcome> outcomes;
+  for (const char* attempt : {"a1", "a2"}) {
+    Call call;
+    call.service = ServiceName("board");
+    call.method = "GET";
+    call.path = "/";
+    call.kind = &kind;
+    call.context.attempt = AttemptId(attempt);
+    call.deadline = clock.Now() + std::chrono::seconds(2);
+    std::promise<Outcome> ended;
+    thread->Post([&] {
+      serving.Serve(*thread, call, {}, [&ended](const CallResult& result) {
+        ended.set_value(result.outcome);
+      });
+    });
+    outcomes.push_back(ended.get_future().get());
+  }
+  thread->Stop();
+  thread.reset();
+  backend.join();
+  CHECK(outcomes == std::vector<Outcome>{Outcome::kNotRun, Outcome::kRan});
+}
+
 // Guards against a memory leak: a completed call that kept its callback, which
 // may own the call, would stay in memory together with its body.
 TEST_CASE("a completed call releases its callback") {
--- a/src/libnode/serving_endpoint.cc
+++ b/src/libnode/serving_endpoint.cc
@@ -16,6 +16,12 @@
       .count();
 }
 
+// Whether a backend server says that it has not run the call.
+bool IsRefusal(const http::HeaderList& headers) {
+  const auto* outcome = http::FindHeader(headers, routing::kOutcomeHeader);
+  return outcome != nullptr && *outcome == OutcomeName(Outcome::kNotRun);
+}
+
 }  // namespace
 
 struct ServingEndpoint::ServedCall {
@@ -248,6 +254,10 @@
   request.headers.emplace_back(
       routing::kExpiresHeader,
       std::to_string(NanosecondsOf(std::min(call.deadline, served.expires))));
+  // A server that sends its refusal once more can't reach the next call.
+  request.keeps_connection = [](const http::HeaderList& headers) {
+    return !IsRefusal(headers);
+  };
   return request;
 }
 
@@ -289,11 +299,11 @@
   result.outcome = Outcome::kRan;
   result.status = status;
   result.headers = ForwardableHeaders(headers);
-  const auto* outcome = http::FindHeader(headers, routing::kOutcomeHeader);
-  if (outcome != nullptr && *outcome == OutcomeName(Outcome::kNotRun)) {
+  if (IsRefusal(headers)) {
     result.outcome = Outcome::kNotRun;
     result.reason = Reason::kServerRefused;
   }
+  const auto* outcome = http::FindHeader(headers, routing::kOutcomeHeader);
   if (outcome != nullptr && *outcome == OutcomeName(Outcome::kUnknown)) {
     // The backend server does not know, for example because a call that it made
     // itself has an unknown outcome.
--- a/src/libsyntax/response.cc
+++ b/src/libsyntax/response.cc
@@ -75,6 +75,10 @@
   return content;
 }
 
+bool HasFinalHead(const PartialResponse& response) {
+  return HasHead(response.scan) && !IsInterim(response.scan);
+}
+
 bool IsWhole(const PartialResponse& response) {
   return EndCompletes(response.scan) && !IsInterim(response.scan);
 }
