Log how a response breaks the protocol

The log line backend_lost said that a response is malformed or too large, which does not lead to the server's fault. The parser keeps the message of the check, and the fetch ends with it, such as "read status line: status 000 is not allowed". Measured: the new assertion of faulty_peer_test passes.

--- a/src/libh1/client_connection.cc
+++ b/src/libh1/client_connection.cc
@@ -260,7 +260,9 @@
     const auto state = this->parser.Feed(bytes, used);
     if (state == ParseState::kFailed) {
       this->Finish(FetchEnd::kNoResponse,
-                   "response is malformed or exceeds the size limits");
+                   this->parser.violation().empty()
+                       ? "response is malformed or exceeds the size limits"
+                       : this->parser.violation());
       return;
     }
     if (state == ParseState::kNeedMore) {
--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -218,6 +218,12 @@
     CHECK(Run(loop, *client, GetFrom(loop, server.address(), "1")).end ==
           FetchEnd::kNoResponse);
   }
+  RawServer invalid_status([](tcp::socket& socket) {
+    ReadHead(socket);
+    Reply(socket, "HTTP/1.1 000 OK\r\nId: 1\r\n\r\n");
+  });
+  CHECK(Run(loop, *client, GetFrom(loop, invalid_status.address(), "1"))
+            .message == "read status line: status 000 is not allowed");
 }
 
 // Guards against a connection that is read out of step after a response without
--- a/src/libh1/parser.cc
+++ b/src/libh1/parser.cc
@@ -91,6 +91,7 @@
   this->done = false;
   this->persistent = false;
   this->parse_error = ParseError::kNone;
+  this->syntax_error.clear();
 }
 
 ParseState Parser::Feed(std::string_view bytes, std::size_t& used) {
@@ -129,7 +130,11 @@
 bool Parser::CheckSyntax(std::string_view bytes) {
   while (!bytes.empty()) {
     const auto step = syntax::Advance(this->scan, bytes);
-    if (!step || step->used == 0) {
+    if (!step) {
+      this->syntax_error = step.error().ToString();
+      return false;
+    }
+    if (step->used == 0) {
       return false;
     }
     bytes.remove_prefix(step->used);
--- a/src/libh1/parser.h
+++ b/src/libh1/parser.h
@@ -46,6 +46,8 @@
   bool headers_complete() const { return this->head_done; }
   bool keep_alive() const { return this->persistent; }
   ParseError error() const { return this->parse_error; }
+  /// How the message breaks the grammar, for people; empty if it does not.
+  const std::string& violation() const { return this->syntax_error; }
   bool expects_continue() const;
   /// Length of the body as the header gives it; 0 if it gives none.
   std::size_t declared_body_bytes() const { return this->declared_bytes; }
@@ -103,6 +105,7 @@
   bool done = false;
   bool persistent = false;
   ParseError parse_error = ParseError::kNone;
+  std::string syntax_error;
 };
 
 }  // namespace cassiakeel::h1::pvt
