Tests: no temporary strings where clang-tidy finds them

Found by scripts/lint in the new tests; no check changes. Measured: lint without findings; the test programs of libsyntax, libh1, libhttp, libplatform and the adapter pass with as many assertions as before.

--- a/src/include/cassiakeel/syntax/malformed_responses.h
+++ b/src/include/cassiakeel/syntax/malformed_responses.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <fmt/format.h>
+
 #include <string>
 #include <vector>
 
@@ -19,7 +21,7 @@
         "HTTP/1.1 101 Switching Protocols", "HTTP/2.0 200 OK",
         "HTTP/0.9 200 OK", "HTTP/1.1  200 OK", "\r\nHTTP/1.1 200 OK",
         "HTTP/1.1 204 No Content", "HTTP/1.1 205 Reset Content"}) {
-    responses.push_back(std::string(start) + "\r\n" + fields + end);
+    responses.push_back(fmt::format("{}\r\n{}{}", start, fields, end));
   }
   for (const char* field :
        {"A B: c\r\n", "A : b\r\n", "A\t: b\r\n", "A\x01: b\r\n", "A\x7f: b\r\n",
@@ -27,13 +29,13 @@
         " A: b\r\n", "A: b\r\n folded\r\n", "A: b\n", "Content-Length: 2\r\n",
         "Content-Length: 1, 2\r\n", "Content-Length: +1\r\n",
         "Transfer-Encoding: chunked\r\n"}) {
-    responses.push_back(ok + field + end);
+    responses.push_back(fmt::format("{}{}{}", ok, field, end));
   }
   for (const char* body :
        {"1\r\nAXX0\r\n\r\n", "1 \r\nA\r\n0\r\n\r\n", "1;\x01\r\nA\r\n0\r\n\r\n",
         "1\nA\r\n0\r\n\r\n", "0x1\r\nA\r\n0\r\n\r\n",
         "1\r\nA\r\n0\r\nA b: c\r\n\r\n", "1\r\nA\r\n0\r\n", "1\r\nA\r\n"}) {
-    responses.push_back(ok + chunked + body);
+    responses.push_back(fmt::format("{}{}{}", ok, chunked, body));
   }
   responses.push_back("HTTP/1.1 200 OK\r\n " + fields + end);
   responses.push_back("HTTP/1.1 103 Early Hints\r\n" + fields +
--- a/src/libh1/malformed_response_test.cc
+++ b/src/libh1/malformed_response_test.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <utility>
 #include <vector>
 
@@ -37,11 +39,12 @@
 TEST_CASE("the length in a response without content is kept and not read") {
   TestLoop loop;
   RawServer server([](tcp::socket& socket) {
-    for (const std::string status : {"200 OK", "304 Not Modified"}) {
+    for (const char* status : {"200 OK", "304 Not Modified"}) {
       const auto head = ReadHead(socket);
       const auto id = head.substr(head.find("Id: ") + 4, 1);
-      Reply(socket, "HTTP/1.1 " + status + "\r\nId: " + id +
-                        "\r\nContent-Length: 9\r\n\r\n");
+      Reply(socket,
+            fmt::format("HTTP/1.1 {}\r\nId: {}\r\nContent-Length: 9\r\n\r\n",
+                        status, id));
     }
     ReadHead(socket);
     Reply(socket, "HTTP/1.1 200 OK\r\nId: 3\r\nContent-Length: 1\r\n\r\nA");
--- a/src/libhttp/http_test.cc
+++ b/src/libhttp/http_test.cc
@@ -133,8 +133,7 @@
     request.keeps_connection = [keeps](const HeaderList& headers) {
       return keeps && FindHeader(headers, "Content-Length") != nullptr;
     };
-    CHECK(RunExchange(io, **client, std::move(request)).end ==
-          ExchangeEnd::kComplete);
+    CHECK(RunExchange(io, **client, request).end == ExchangeEnd::kComplete);
   }
   CHECK(peer.connections == 2);
 }
--- a/src/libhttp/malformed_message_test.cc
+++ b/src/libhttp/malformed_message_test.cc
@@ -85,6 +85,7 @@
       {"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", ""},
   };
   std::vector<std::string> responses;
+  responses.reserve(cases.size());
   for (const auto& [response, body] : cases) {
     responses.push_back(response);
   }
--- a/src/libsyntax/syntax_test.cc
+++ b/src/libsyntax/syntax_test.cc
@@ -142,21 +142,25 @@
   CHECK(CheckResponse(ok + "transfer-encoding:CHUNKED\r\n" + chunks).complete);
   CHECK(CheckResponse(ok + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na")
             .complete);
-  for (const std::string& message :
-       {ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\na",
-        ok + "Content-Length: 1, 2\r\n\r\na", ok + "Content-Length: \r\n\r\n",
-        ok + "Content-Length: +1\r\n\r\na", ok + "Content-Length: -1\r\n\r\na",
-        ok + "Content-Length: 0x1\r\n\r\na", ok + "Content-Length: 1 1\r\n\r\n",
-        ok + "Content-Length: 18446744073709551616\r\n\r\na",
-        ok + chunked + "Content-Length: 1\r\n" + chunks,
-        ok + chunked + chunked + chunks,
-        ok + "Transfer-Encoding: gzip\r\n\r\na",
-        ok + "Transfer-Encoding: gzip, chunked\r\n" + chunks,
-        ok + "Transfer-Encoding: chunked, gzip\r\n" + chunks,
-        ok + "Transfer-Encoding: xchunked\r\n" + chunks,
-        ok + "Transfer-Encoding: chunked;a=b\r\n" + chunks,
-        ok + "Transfer-Encoding:\r\n" + chunks,
-        "HTTP/1.0 200 OK\r\n" + chunked + chunks}) {
+  const std::vector<std::string> malformed = {
+      ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\na",
+      ok + "Content-Length: 1, 2\r\n\r\na",
+      ok + "Content-Length: \r\n\r\n",
+      ok + "Content-Length: +1\r\n\r\na",
+      ok + "Content-Length: -1\r\n\r\na",
+      ok + "Content-Length: 0x1\r\n\r\na",
+      ok + "Content-Length: 1 1\r\n\r\n",
+      ok + "Content-Length: 18446744073709551616\r\n\r\na",
+      ok + chunked + "Content-Length: 1\r\n" + chunks,
+      ok + chunked + chunked + chunks,
+      ok + "Transfer-Encoding: gzip\r\n\r\na",
+      ok + "Transfer-Encoding: gzip, chunked\r\n" + chunks,
+      ok + "Transfer-Encoding: chunked, gzip\r\n" + chunks,
+      ok + "Transfer-Encoding: xchunked\r\n" + chunks,
+      ok + "Transfer-Encoding: chunked;a=b\r\n" + chunks,
+      ok + "Transfer-Encoding:\r\n" + chunks,
+      "HTTP/1.0 200 OK\r\n" + chunked + chunks};
+  for (const auto& message : malformed) {
     INFO(message);
     CHECK_FALSE(CheckResponse(message).valid);
   }
