Send no interim response to clients of HTTP/1.0

Cause: the server told each client with "Expect: 100-continue" to continue; RFC 9110, section 15.2, excludes interim responses to HTTP/1.0, whose clients may take one for the final answer. Change: the version is looked at. Measured: the new test failed without the change and passes.

--- a/src/libh1/h1_test.cc
+++ b/src/libh1/h1_test.cc
@@ -179,6 +179,20 @@
         "HTTP/1.1 204 No Content\r\n" + close);
 }
 
+// Guards against an interim response that a client of HTTP/1.0 takes for the
+// final one.
+TEST_CASE("only clients of HTTP/1.1 are told to continue") {
+  TestLoop loop;
+  const auto server = loop.Serve([](std::shared_ptr<Exchange> exchange) {
+    exchange->Respond({200, {}, {}});
+  });
+  const std::string fields =
+      "Host: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n";
+  CHECK(SendAndReceive(loop, "POST / HTTP/1.1\r\n" + fields)
+            .starts_with("HTTP/1.1 100 Continue\r\n\r\n"));
+  CHECK(SendAndReceive(loop, "POST / HTTP/1.0\r\n" + fields).empty());
+}
+
 TEST_CASE("pipelined requests are answered in order") {
   TestLoop loop;
   const auto server = loop.Serve([](std::shared_ptr<Exchange> exchange) {
--- a/src/libh1/parser.cc
+++ b/src/libh1/parser.cc
@@ -143,8 +143,11 @@
 }
 
 bool Parser::expects_continue() const {
+  // Interim responses are not sent to clients of HTTP/1.0 (RFC 9110, section
+  // 15.2).
   const auto* expect = FindHeader(this->headers, "Expect");
-  return expect != nullptr && EqualsIgnoreCase(*expect, "100-continue");
+  return expect != nullptr && EqualsIgnoreCase(*expect, "100-continue") &&
+         this->scan.start.minor_version > 0;
 }
 
 bool Parser::CountHeaderBytes(std::size_t bytes) {
