--- a/src/libh1/echo.h
+++ b/src/libh1/echo.h
@@ -10,8 +10,8 @@
 enum class Answered {
   /// The current one, as the repeated value shows.
   kCurrent,
-  /// The current one, because the connection has carried no other and no value
-  /// is to be repeated.
+  /// The current one, although it repeats no value: the connection has carried
+  /// no other request.
   kOnly,
   kEarlier,
   /// It may be a late copy of an earlier response.
