--- a/src/libh1/malformed_response_test.cc
+++ b/src/libh1/malformed_response_test.cc
@@ -106,7 +106,7 @@
 // id, and that is taken for the response to the next request, which does run.
 TEST_CASE("a response without id on a reused connection is kNoResponse") {
   const std::string refusal =
-      "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+      "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
   TestLoop loop;
   bool is_first = true;
   RawServer server([&refusal, is_first](tcp::socket& socket) mutable {
@@ -116,7 +116,7 @@
       return;
     }
     Reply(socket,
-          "HTTP/1.1 503 Full\r\nId: 1\r\nX-Not-Executed: 1\r\n"
+          "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\n"
           "Content-Length: 0\r\n\r\n");
     ReadHead(socket);
     Reply(socket, refusal +
