Look for the signature after the fields that Connection lists are removed

Seen by callers: a success without the backend server's signature, where the server had listed that field in its Connection field, which RFC 9110, section 7.6.1, forbids for fields that are meant for all recipients.

Cause: the gate looked for the signature first and removed the listed fields then, so that the answer lost it on the way.

Change: the fields are removed first; such a success is a failure after which the work may have run. A refusal is recognised before, as until now.

--- a/src/libmesh/backend_gate.cc
+++ b/src/libmesh/backend_gate.cc
@@ -326,13 +326,16 @@
   }
   ServeResult result;
   result.reached_backend = true;
-  const auto& headers = fetch.response.headers;
+  auto& headers = fetch.response.headers;
   if (h1::FindHeader(headers, this->fields.not_run) != nullptr ||
       fetch.response.status == 421) {
     result.outcome = Outcome::kNotRun;
     result.reason = Reason::kServerRefused;
     return result;
   }
+  // Before the signature is looked for: a field that `Connection` lists does
+  // not reach the caller.
+  h1::RemoveConnectionFields(headers);
   // A success response without the signature, or with a content encoding that
   // was not requested, was not produced by the backend server.
   const bool is_signed =
@@ -350,7 +353,6 @@
   }
   result.outcome = Outcome::kRan;
   result.response = std::move(fetch.response);
-  h1::RemoveConnectionFields(result.response.headers);
   return result;
 }
 
--- a/testsuite/harness/broken_answers.py
+++ b/testsuite/harness/broken_answers.py
@@ -44,6 +44,8 @@
     "blank in the name of the length": OK + b"Content-Length : 6\r\n\r\nbroken",
     "lengths that differ": OK + b"Content-Length: 2\r\n" + END,
     "length beside chunks": OK + b"Transfer-Encoding: chunked\r\n" + END,
+    "signature listed in Connection":
+        OK + b"Connection: X-Response-Signature\r\n" + END,
     "unknown coding": OK + b"Transfer-Encoding: gzip\r\n\r\nbroken",
     "chunk longer than its size": CHUNKED + b"6\r\nbrokenXX0\r\n\r\n",
     "chunks without an end": CHUNKED + b"6\r\nbroken\r\n",
