Log whole reads of a table with the version known before and the store's era

It had no line for a read that was taken, none for a poll that the store could not answer from its history, and no era of the store.

Change: event table_read (table, outcome taken, older or history_lost, version known, version and rows read, era). No decision changes.

--- a/src/include/cassiakeel/mesh/shared_store.h
+++ b/src/include/cassiakeel/mesh/shared_store.h
@@ -9,9 +9,15 @@
 #include <vector>
 
 #include "cassiakeel/base/error.h"
+#include "cassiakeel/base/strong.h"
 
 namespace cassiakeel::mesh {
 
+/// Number that the store shows in its replies. It rises each time the store
+/// comes back from an older copy of its data. Row versions of different eras
+/// cannot be compared, because the store gives the lost ones out again.
+using StoreEra = Strong<std::uint64_t, struct StoreEraTag>;
+
 /// One row of a shared table.
 struct StoredRow {
   std::string key;
@@ -43,6 +49,8 @@
   StoreFault fault = StoreFault::kNone;
   std::string message;
   RowSet content;
+  /// Era of the store that replied; nothing if the reply names none.
+  std::optional<StoreEra> era = std::nullopt;
 };
 
 struct WriteReply {
@@ -53,6 +61,8 @@
   bool applied = false;
   std::uint64_t version = 0;
   std::optional<StoredRow> current;
+  /// As in `StoreReply`.
+  std::optional<StoreEra> era = std::nullopt;
 };
 
 /// Interface to the deployment's shared store, for use on the control thread.
--- a/src/include/cassiakeel/mesh/table_follower.h
+++ b/src/include/cassiakeel/mesh/table_follower.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "cassiakeel/base/random.h"
 #include "cassiakeel/h1/timer_queue.h"
@@ -13,6 +14,19 @@
 
 using RowMap = std::map<std::string, StoredRow>;
 
+/// A reply of the store about a whole table, or a poll that it could not answer
+/// from its history, beside what the follower knew.
+struct TableReadReport {
+  /// Version of the local copy; 0 before the first read.
+  std::uint64_t known_version = 0;
+  /// Version of the table in the reply; 0 if it has none.
+  std::uint64_t version = 0;
+  std::size_t rows = 0;
+  std::optional<StoreEra> era;
+  /// Outcome: "taken", "older" (dropped) or "history_lost".
+  std::string_view outcome;
+};
+
 /// Maintains a local copy of one table: reads the whole table, then follows its
 /// changes, and reads the table again if the store no longer has the changes.
 /// Runs on the control thread.
@@ -23,6 +37,7 @@
   /// Called when the connection to the store is lost or restored.
   using ConnectionHandler =
       std::function<void(bool up, const std::string& cause)>;
+  using ReadHandler = std::function<void(const TableReadReport& report)>;
 
   /// `min_poll_interval` is the minimum time between a reply with changes and
   /// the next poll. It batches a series of changes into few calls to the store.
@@ -32,7 +47,8 @@
       std::string table,
       std::chrono::milliseconds min_poll_interval,
       ChangeHandler on_change,
-      ConnectionHandler on_connection);
+      ConnectionHandler on_connection,
+      ReadHandler on_read = {});
 
   void Start();
   /// Called when a peer has seen a newer row version than this copy may
@@ -52,6 +68,7 @@
   void OnChanges(StoreReply reply);
   void OnFailure(const StoreReply& reply);
   void MarkConnected();
+  void ReportRead(const StoreReply& reply, std::string_view outcome);
   // Holds only a weak reference to this follower: the follower owns the timer
   // queue, so a strong reference would be a cycle.
   void RunAfter(std::chrono::milliseconds wait, std::function<void()> action);
@@ -62,6 +79,7 @@
   std::chrono::milliseconds min_poll_interval{0};
   ChangeHandler on_change;
   ConnectionHandler on_connection;
+  ReadHandler on_read;
   RowMap local_rows;
   std::uint64_t table_version = 0;
   bool is_loaded = false;
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -54,11 +54,13 @@
     this->policy_rows = TableFollower::Create(
         store, timers, settings.policy_table, kPolicyPollInterval,
         [this](const RowMap& rows) { this->OnPolicyRows(rows); },
-        this->ConnectionLogger(settings.policy_table));
+        this->ConnectionLogger(settings.policy_table),
+        this->ReadLogger(settings.policy_table));
     this->directory_rows = TableFollower::Create(
         store, timers, settings.directory_table, kDirectoryPollInterval,
         [this](const RowMap& rows) { this->OnDirectoryRows(rows); },
-        this->ConnectionLogger(settings.directory_table));
+        this->ConnectionLogger(settings.directory_table),
+        this->ReadLogger(settings.directory_table));
     node.SetPeerHandlers(this->MakePeerHandlers());
   }
 
@@ -169,6 +171,28 @@
     };
   }
 
+  // A row of this line tells whether the store went back to older versions, and
+  // what the node made of that.
+  TableFollower::ReadHandler ReadLogger(const std::string& table) {
+    return [this, table](const TableReadReport& report) {
+      this->log.WriteLimited(
+          "table_read",
+          pvt::JsonString("table", table) + "," +
+              pvt::JsonString("outcome", report.outcome) + "," +
+              pvt::JsonNumber("known_version",
+                              static_cast<std::int64_t>(report.known_version)) +
+              "," +
+              pvt::JsonNumber("version",
+                              static_cast<std::int64_t>(report.version)) +
+              "," +
+              pvt::JsonNumber("rows", static_cast<std::int64_t>(report.rows)) +
+              "," +
+              pvt::JsonNumber("era",
+                              static_cast<std::int64_t>(
+                                  report.era.value_or(StoreEra(0)).Value())));
+    };
+  }
+
   // Confirms a report at once if it changed nothing. Otherwise OnBackend has
   // passed the callback to the node.
   void ConfirmUnchanged() {
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -30,7 +30,8 @@
     std::string table,
     milliseconds min_poll_interval,
     ChangeHandler on_change,
-    ConnectionHandler on_connection) {
+    ConnectionHandler on_connection,
+    ReadHandler on_read) {
   std::shared_ptr<TableFollower> follower(new TableFollower());
   follower->store = &store;
   follower->timers = std::move(timers);
@@ -38,6 +39,7 @@
   follower->min_poll_interval = min_poll_interval;
   follower->on_change = std::move(on_change);
   follower->on_connection = std::move(on_connection);
+  follower->on_read = std::move(on_read);
   follower->rng.seed(std::random_device()());
   return follower;
 }
@@ -100,7 +102,10 @@
   }
   this->MarkConnected();
   // An older copy would revert changes that were already applied.
-  if (this->is_loaded && reply.content.version < this->table_version) {
+  const bool is_older =
+      this->is_loaded && reply.content.version < this->table_version;
+  this->ReportRead(reply, is_older ? "older" : "taken");
+  if (is_older) {
     this->OnFailure({StoreFault::kUnavailable,
                      "store returned an older table version than before",
                      {}});
@@ -118,6 +123,7 @@
 
 void TableFollower::OnChanges(StoreReply reply) {
   if (reply.fault == StoreFault::kHistoryLost) {
+    this->ReportRead(reply, "history_lost");
     this->MarkConnected();
     this->Read();
     return;
@@ -156,6 +162,14 @@
   }
 }
 
+void TableFollower::ReportRead(const StoreReply& reply,
+                               std::string_view outcome) {
+  if (this->on_read) {
+    this->on_read({this->table_version, reply.content.version,
+                   reply.content.rows.size(), reply.era, outcome});
+  }
+}
+
 void TableFollower::OnFailure(const StoreReply& reply) {
   if (this->connected) {
     this->connected = false;
