--- a/src/libmesh/mesh_test_support.h
+++ b/src/libmesh/mesh_test_support.h
@@ -263,14 +263,22 @@
         handler({StoreFault::kUnavailable, "down", {}});
         return;
       }
-      handler({StoreFault::kNone, {}, {this->AllRows(), this->version}});
+      handler(
+          {StoreFault::kNone, {}, {this->AllRows(), this->version}, this->era});
     });
   }
   void Follow(const std::string&,
               std::uint64_t after,
-              std::chrono::milliseconds,
+              std::chrono::milliseconds wait,
               std::function<void(StoreReply)> handler) override {
-    this->followers.emplace_back(after, std::move(handler));
+    this->last_wait = wait;
+    if (this->unavailable) {
+      this->QueueReply([handler] {
+        handler({StoreFault::kUnavailable, "down", {}});
+      });
+      return;
+    }
+    this->followers.push_back({after, wait, std::move(handler)});
     this->ReplyToFollowers();
   }
   void Write(const std::string&,
@@ -291,6 +299,7 @@
     this->QueueReply([this, key, value, expected, handler] {
       const bool applied = this->Apply(key, value, expected);
       WriteReply reply;
+      reply.era = this->era;
       reply.applied = applied;
       reply.version = this->version;
       if (!applied && this->rows.contains(key)) {
@@ -333,12 +342,12 @@
     }
     auto waiting = std::move(this->followers);
     this->followers.clear();
-    for (const auto& entry : waiting) {
-      const auto after = entry.first;
-      const auto handler = entry.second;
-      if (this->lose_history) {
-        this->QueueReply([handler] {
-          handler({StoreFault::kHistoryLost, "gone", {}});
+    for (const auto& poll : waiting) {
+      const auto after = poll.after;
+      const auto handler = poll.handler;
+      if (this->lose_history || after > this->version) {
+        this->QueueReply([handler, era = this->era] {
+          handler({StoreFault::kHistoryLost, "gone", {}, era});
         });
         continue;
       }
@@ -348,17 +357,51 @@
           changes.rows.push_back(row);
         }
       }
-      if (changes.rows.empty()) {
-        this->followers.emplace_back(after, handler);
+      if (changes.rows.empty() && poll.wait > std::chrono::milliseconds(0)) {
+        this->followers.push_back(poll);
       } else {
-        this->QueueReply([handler, changes] {
-          handler({StoreFault::kNone, {}, changes});
+        this->QueueReply([handler, changes, era = this->era] {
+          handler({StoreFault::kNone, {}, changes, era});
         });
       }
     }
     this->lose_history = false;
   }
 
+  /// Comes back from `copy`: its rows and its version. Polls that hang get no
+  /// reply before `CutPolls`.
+  void ComeBackFrom(
+      const std::pair<std::map<std::string, StoredRow>, std::uint64_t>& copy) {
+    this->rows = copy.first;
+    this->version = copy.second;
+    if (this->era) {
+      this->era = StoreEra(this->era->Value() + 1);
+    }
+  }
+
+  /// The rows and the version, for `ComeBackFrom`.
+  std::pair<std::map<std::string, StoredRow>, std::uint64_t> Copy() const {
+    return {this->rows, this->version};
+  }
+
+  /// Ends the connections of the polls that hang.
+  void CutPolls() {
+    for (const auto& poll : std::exchange(this->followers, {})) {
+      this->QueueReply([handler = poll.handler] {
+        handler({StoreFault::kUnknown, "connection reset", {}});
+      });
+    }
+  }
+
+  /// Answers the polls that hang as if their time was up.
+  void EndPolls() {
+    for (const auto& poll : std::exchange(this->followers, {})) {
+      this->QueueReply([this, handler = poll.handler] {
+        handler({StoreFault::kNone, {}, {{}, this->version}, this->era});
+      });
+    }
+  }
+
   /// Delivers all pending replies, including those caused by other replies.
   void DeliverReplies() {
     while (!this->pending_replies.empty()) {
@@ -376,6 +419,10 @@
   bool unavailable = false;
   bool hang_follows = false;
   bool lose_history = false;
+  /// Shown in all replies of the store; nothing for a store that names none.
+  std::optional<StoreEra> era = StoreEra(1);
+  /// Wait of the latest poll.
+  std::chrono::milliseconds last_wait{0};
   std::vector<std::function<void()>> delayed_writes;
 
  private:
@@ -391,8 +438,13 @@
   }
 
   std::deque<std::function<void()>> pending_replies;
-  std::vector<std::pair<std::uint64_t, std::function<void(StoreReply)>>>
-      followers;
+  struct Poll {
+    std::uint64_t after;
+    std::chrono::milliseconds wait;
+    std::function<void(StoreReply)> handler;
+  };
+
+  std::vector<Poll> followers;
 };
 
 }  // namespace cassiakeel::mesh
