Tests: the store comes back from a copy beneath real sidecars

The stand-in store can come back from a copy: versions fall and are given out again, a poll behind a version that it does not have gets 410, and all responses name the era, or none. e2e_store_return plays 14 forms with three nodes each and checks with the users' bounds that a policy confirmed after the return is in force, that no node goes back to an older one, and that rows which the copy lacks are written again.

--- a/testsuite/harness/soak_standins.py
+++ b/testsuite/harness/soak_standins.py
@@ -82,15 +82,27 @@
 class FakeStore:
     """The part of the platform's store that the nodes use. `mode` is up, down,
     silent or late. Late writes take effect after two seconds without a
-    response."""
+    response. It can come back from an older copy of its data; `era` counts that and
+    is named in all responses, unless it is None."""
 
-    def __init__(self, address):
+    def __init__(self, address, era=1):
         self.server = Server(address, self.respond)
         self.rows = {}
         self.version = 0
         self.mode = "up"
+        self.era = era
+        # Called for the value of the era field; None leaves it out.
+        self.era_field = lambda era: era
         self.oldest_kept_version = 0
         self.rows_changed = asyncio.Condition()
+        # Polls with a lower number are reset.
+        self.first_poll = 0
+        # Polls with a lower number began before the last return. They learn of it
+        # only when their table changes behind the number that they wait for.
+        self.first_poll_of_era = 0
+        self.polls = 0
+        # Copy that whole reads show while they are stale.
+        self.stale_copy = None
 
     async def put(self, table, key, value):
         async with self.rows_changed:
@@ -101,17 +113,40 @@
     def drop_history(self):
         self.oldest_kept_version = self.version
 
-    def reply(self, table, after):
+    def copy(self):
+        """Returns the data for `come_back`."""
+        return dict(self.rows), self.version
+
+    async def come_back(self, copy, cut_polls=True):
+        """Comes back from `copy` as a new era. Polls are reset, or go on hanging
+        until there is something to tell them."""
+        async with self.rows_changed:
+            self.rows, self.version = dict(copy[0]), copy[1]
+            self.oldest_kept_version = min(self.oldest_kept_version, self.version)
+            if self.era is not None:
+                self.era += 1
+            self.first_poll_of_era = self.polls
+            if cut_polls:
+                self.first_poll = self.polls
+                self.rows_changed.notify_all()
+
+    def answer(self, status, body=b""):
+        era = None if self.era is None else self.era_field(self.era)
+        return format_response(status, body,
+                               {} if era is None else {"Store-Era": era})
+
+    def reply(self, table, after, rows=None, version=None):
+        rows = self.rows if rows is None else rows
         rows = [{"table": table, "part": "", "key": key, "rowVersion": version,
                  "value": base64.b64encode(value).decode()}
-                for (owner, key), (value, version) in sorted(self.rows.items())
+                for (owner, key), (value, version) in sorted(rows.items())
                 if owner == table and version > after]
-        return {"rows": rows, "rowVersion": self.version, "nowMs": 0,
+        return {"rows": rows, "rowVersion": version or self.version, "nowMs": 0,
                 "hasMore": False}
 
     async def respond(self, line, _, body):
         if self.mode == "down":
-            return format_response(503)
+            return self.answer(503)
         if self.mode == "silent":
             await asyncio.sleep(3600)
         method, target, _ = line.split(" ")
@@ -120,29 +155,33 @@
         if path == "/rows-tx" and method == "POST":
             return await self.write(json.loads(body))
         if path == "/rows-get":
-            return format_response(
-                200, json.dumps(self.reply(fields["table"], -1)).encode())
+            rows, version = self.stale_copy or (self.rows, self.version)
+            return self.answer(200, json.dumps(
+                self.reply(fields["table"], -1, rows, version)).encode())
         if path == "/rows-feed":
             return await self.feed(fields)
-        return format_response(404)
+        return self.answer(404)
 
     async def feed(self, fields):
         table, after = fields["table"], int(fields["after"])
         end = time.monotonic() + int(fields["waitMs"]) / 1000
+        poll = self.polls
+        self.polls += 1
         while True:
-            if after < self.oldest_kept_version:
-                return format_response(410)
+            if poll >= self.first_poll_of_era and \
+                    not self.oldest_kept_version <= after <= self.version:
+                return self.answer(410)
             reply = self.reply(table, after)
             remaining_s = end - time.monotonic()
             if reply["rows"] or remaining_s <= 0:
-                return format_response(200, json.dumps(reply).encode())
+                return self.answer(200, json.dumps(reply).encode())
             async with self.rows_changed:
                 try:
                     async with asyncio.timeout(remaining_s):
                         await self.rows_changed.wait()
                 except TimeoutError:
                     pass
-            if self.mode != "up":
+            if self.mode != "up" or poll < self.first_poll:
                 return None
 
     async def write(self, transaction):
@@ -163,12 +202,12 @@
         if late:
             return None
         if precondition_holds:
-            return format_response(
+            return self.answer(
                 200, json.dumps({"rowVersion": self.version}).encode())
         rows = [{"part": "", "key": row["key"], "rowVersion": version,
                  "value": base64.b64encode(value).decode()}
                 for (value, version), row in zip(current, transaction["precondition"])]
-        return format_response(412, json.dumps(
+        return self.answer(412, json.dumps(
             {"rows": rows, "rowVersion": self.version}).encode())
 
 
--- /dev/null
+++ b/testsuite/harness/store_return.py
@@ -0,0 +1,359 @@
+"""Lets the store come back from an older copy beneath sidecars, as real processes.
+
+Guards against a policy that the store has confirmed and that is not in force, a policy
+that reverts, and rows of nodes that stay lost.
+"""
+
+import argparse
+import asyncio
+import concurrent.futures
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from soak import TABLES, Soak
+from soak_standins import send_request
+
+# The users' bounds: a policy is in force (configMs) after its confirmation, at nodes
+# that have been in touch with a stable store (stabilityWindowMs).
+IN_FORCE_S = 2.0
+STABLE_S = 3.0
+# A node's row is in the store again.
+REWRITTEN_S = 2.0
+# Margin for scheduling delays on a busy machine.
+MARGIN_S = 0.5
+# Longer than a node takes to start and to read a change of the directory.
+START_S = 4.0
+PROBE_INTERVAL_S = 0.1
+NODES = 3
+# Forms that run at the same time, with their own processes.
+PARALLEL = 4
+
+
+class Trial:
+    """Three nodes and a store for one form."""
+
+    def __init__(self, program, name, era=1):
+        self.name = name
+        self.log_dir = tempfile.mkdtemp(prefix=f"store-return-{name}-")
+        self.soak = Soak(program, 1, NODES, 0, self.log_dir, None)
+        self.store = self.soak.store
+        self.store.era = era
+        self.nodes = self.soak.nodes
+        self.version = 0
+        self.policies = {}
+        self.findings = []
+        self.seen = []
+        self.first_copy = None
+        self.returned_at = None
+        self.probes = 0
+
+    def expect(self, condition, text):
+        if not condition:
+            self.findings.append(text)
+
+    async def start(self):
+        await self.store.server.start()
+        await self.publish()
+        # Without the rows of the nodes.
+        self.first_copy = self.store.copy()
+        for node in self.nodes:
+            await node.backend.server.start()
+            await node.proxy.start()
+            await node.store_proxy.start()
+            node.start()
+            self.soak.spawn(self.soak.send_reports(node))
+        await asyncio.sleep(START_S)
+        for node in self.nodes:
+            self.soak.spawn(self.watch_policy(node))
+
+    async def publish(self):
+        """Stores the next version, which adds the route /vN/. Returns the time of its
+        confirmation."""
+        self.version += 1
+        routes = [{"name": f"r-{n}", "host": "h", "kind": "safe",
+                   "pathPrefix": f"/v{n}/", "timeoutMs": 1500,
+                   "targetLatencyMs": 600, "priority": 0, "service": f"s{n % NODES}",
+                   "maxAttempts": 2} for n in range(1, self.version + 1)]
+        config = {"version": f"{self.version:08x}", "routes": routes,
+                  "services": [{"name": f"s{n}"} for n in range(NODES)]}
+        self.policies[self.version] = json.dumps(config).encode()
+        await self.rewrite_policy()
+        return time.monotonic()
+
+    async def rewrite_policy(self):
+        await self.store.put(TABLES[0], "config", self.policies[self.version])
+
+    async def use_numbers(self, count, pause_s=0):
+        """Writes rows that no node uses."""
+        for number in range(count):
+            await self.store.put("unused", str(number), b"x")
+            await asyncio.sleep(pause_s)
+
+    async def come_back(self, copy, **options):
+        await self.store.come_back(copy, **options)
+        self.returned_at = time.monotonic()
+
+    async def has_version(self, node, version):
+        """Whether the node handles a request as `version` allows; None if it does not
+        answer."""
+        self.probes += 1
+        attempt = f"{node.name}-{self.probes}"
+        self.soak.checker.sent[attempt] = {
+            "line": f"GET /v{version}/x HTTP/1.1", "body": b"", "safe": True,
+            "service": f"s{version % NODES}", "caller": node.service, "due": False}
+        message = (f"GET /v{version}/x HTTP/1.1\r\nHost: h\r\n"
+                   f"X-Attempt-Id: {attempt}\r\nX-Timeout-Ms: 1000\r\n\r\n")
+        response, _ = await send_request(node.outbound, message.encode(), 1.5)
+        return None if response is None or response[0] == 503 else response[0] != 404
+
+    async def watch_policy(self, node):
+        """Records a node that handles a request as an older version allows than one
+        before did, within one start of its process."""
+        process, newest = node.process, 0
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            if node.process is not process:
+                process, newest = node.process, 0
+            version = max(newest, 1)
+            served = await self.has_version(node, version)
+            if node.process is process:
+                self.expect(served is not False,
+                            f"{node.name} went back behind version {version}")
+            if newest < self.version and \
+                    await self.has_version(node, newest + 1):
+                newest += 1
+
+    async def check_in_force(self, confirmed, excused=None):
+        """Checks that the newest version is in force at all nodes in time. `excused`
+        maps nodes to the time from which they count."""
+        late = {}
+
+        async def wait_for(node):
+            from_time = max(confirmed, (excused or {}).get(node, 0))
+            deadline = max(from_time + IN_FORCE_S,
+                           max(self.returned_at or 0,
+                               (excused or {}).get(node, 0)) + STABLE_S) + MARGIN_S
+            while not await self.has_version(node, self.version):
+                if time.monotonic() > deadline:
+                    late[node.name] = "never"
+                    return
+                await asyncio.sleep(PROBE_INTERVAL_S)
+            late[node.name] = f"{time.monotonic() - confirmed:.1f} s"
+
+        await asyncio.gather(*(wait_for(node) for node in self.nodes))
+        missing = [name for name, value in late.items() if value == "never"]
+        self.seen.append(f"version {self.version} in force: {late}")
+        self.expect(not missing,
+                    f"version {self.version} is not in force at {', '.join(missing)}")
+
+    def stored_rows(self):
+        return {key: json.loads(value) for (table, key), (value, _)
+                in self.store.rows.items() if table == TABLES[1]}
+
+    async def check_rows(self, nodes=None):
+        """Checks that the rows of `nodes` are in the store again in time."""
+        names = {node.name for node in nodes or self.nodes}
+        deadline = self.returned_at + REWRITTEN_S + MARGIN_S
+        while names - self.stored_rows().keys() and time.monotonic() < deadline:
+            await asyncio.sleep(0.02)
+        missing = names - self.stored_rows().keys()
+        waited = time.monotonic() - self.returned_at
+        self.seen.append(f"rows after {waited:.1f} s: {len(names - missing)} of "
+                         f"{len(names)}")
+        self.expect(not missing, f"rows not written again: {sorted(missing)}")
+
+    def logged(self, event):
+        """Number of lines with `event` in the logs of all nodes."""
+        count = 0
+        for node in self.nodes:
+            path = os.path.join(self.log_dir, f"{node.name}.log")
+            with open(path, encoding="utf-8") as log:
+                count += sum(f'"event":"{event}"' in line for line in log)
+        return count
+
+
+async def play(trial, pass_by, cut_polls=True):
+    """A return from a copy without the nodes' rows and with the policy before the last
+    one. `pass_by` uses up numbers of the store from then on."""
+    copy = trial.first_copy
+    await trial.publish()
+    await asyncio.sleep(1.0)
+    await trial.use_numbers(20)
+    await trial.come_back(copy, cut_polls=cut_polls)
+    await trial.rewrite_policy()
+    confirmed = await trial.publish()
+    await asyncio.gather(pass_by(), trial.check_rows(),
+                         trial.check_in_force(confirmed))
+    confirmed = await trial.publish()
+    await trial.check_in_force(confirmed)
+
+
+async def slowly(trial):
+    await play(trial, lambda: trial.use_numbers(20, 0.3))
+
+
+async def at_once(trial):
+    await play(trial, lambda: trial.use_numbers(80))
+
+
+async def not_for_seconds(trial):
+    await play(trial, lambda: asyncio.sleep(0))
+
+
+async def hanging_polls(trial):
+    await play(trial, lambda: trial.use_numbers(80), cut_polls=False)
+
+
+async def two_returns(trial):
+    copy = trial.first_copy
+    await trial.publish()
+    await trial.use_numbers(20)
+    await trial.come_back(copy)
+    await trial.rewrite_policy()
+    await trial.publish()
+    await asyncio.sleep(0.4)
+    await trial.come_back(copy)
+    await trial.rewrite_policy()
+    confirmed = await trial.publish()
+    await asyncio.gather(trial.use_numbers(80), trial.check_rows(),
+                         trial.check_in_force(confirmed))
+
+
+async def paused_node(trial):
+    node = trial.nodes[0]
+    copy = trial.first_copy
+    await trial.publish()
+    await trial.use_numbers(20)
+    await asyncio.sleep(0.5)
+    node.process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(0.5)
+    await trial.come_back(copy)
+    await trial.rewrite_policy()
+    confirmed = await trial.publish()
+    await trial.use_numbers(80)
+    await asyncio.sleep(1.0)
+    node.process.send_signal(signal.SIGCONT)
+    await trial.check_in_force(confirmed, {node: time.monotonic()})
+    trial.returned_at = time.monotonic()
+    await trial.check_rows()
+
+
+async def restarted_node(trial):
+    node = trial.nodes[0]
+    copy = trial.first_copy
+    await trial.publish()
+    await trial.use_numbers(20)
+    await asyncio.sleep(0.5)
+    node.process.kill()
+    node.process.wait()
+    await trial.come_back(copy)
+    await trial.rewrite_policy()
+    confirmed = await trial.publish()
+    node.start()
+    await trial.use_numbers(80)
+    await trial.check_in_force(confirmed, {node: time.monotonic()})
+    await trial.check_rows(trial.nodes[1:])
+
+
+async def odd_header(trial, field):
+    trial.store.era_field = field
+    await trial.publish()
+    await trial.use_numbers(20)
+    await asyncio.sleep(0.5)
+    await trial.come_back(trial.first_copy)
+    await trial.rewrite_policy()
+    confirmed = await trial.publish()
+    await asyncio.gather(trial.use_numbers(80), trial.check_rows(),
+                         trial.check_in_force(confirmed))
+
+
+def absent_at_times():
+    answers = iter(range(1 << 30))
+    return lambda era: era if next(answers) % 3 else None
+
+
+async def stale_reads(trial):
+    """Whole reads lag behind for 3 s after the history was dropped."""
+    stale = trial.store.copy()
+    await trial.publish()
+    await asyncio.sleep(1.0)
+    trial.store.stale_copy = stale
+    trial.store.drop_history()
+    trial.store.first_poll = trial.store.polls
+    confirmed = await trial.publish()
+    await asyncio.sleep(3.0)
+    trial.store.stale_copy = None
+    trial.returned_at = time.monotonic()
+    await trial.check_in_force(confirmed)
+    returns = trial.logged("store_returned")
+    trial.expect(returns == 0, f"stale reads were taken for {returns} returns")
+
+
+# Name, era of the store (None: no header), form.
+FORMS = (
+    ("slowly", 1, slowly),
+    ("at-once", 1, at_once),
+    ("not-for-seconds", 1, not_for_seconds),
+    ("hanging-polls", 1, hanging_polls),
+    ("no-header-slowly", None, slowly),
+    ("no-header-at-once", None, at_once),
+    ("two-returns", 1, two_returns),
+    ("paused-node", 1, paused_node),
+    ("restarted-node", 1, restarted_node),
+    ("header-absent-at-times", 1,
+     lambda trial: odd_header(trial, absent_at_times())),
+    ("header-no-number", 1, lambda trial: odd_header(trial, lambda era: f"x{era}")),
+    ("header-falls", 9, lambda trial: odd_header(trial, lambda era: 20 - era)),
+    ("header-jumps", 1, lambda trial: odd_header(trial, lambda era: era * 1000)),
+    ("stale-reads", 1, stale_reads),
+)
+
+
+async def play_form(trial, form):
+    await trial.start()
+    await form(trial)
+    trial.findings += trial.soak.checker.violations
+    await trial.soak.end()
+
+
+def run_form(program, name, era, form):
+    trial = Trial(program, name, era)
+    try:
+        asyncio.run(play_form(trial, form))
+    finally:
+        trial.soak.stop()
+    print(f"{name}: {'; '.join(trial.seen)}")
+    for line in trial.findings[:8]:
+        print(f"{name}: FAILED: {line}")
+    if trial.findings:
+        print(f"{name}: logs in {trial.log_dir}")
+    return 1 if trial.findings else 0
+
+
+def run_all(arguments):
+    """Runs each form as a process of its own, PARALLEL of them at a time."""
+    def run(form):
+        return subprocess.run([sys.executable, __file__, *arguments, "--form", form[0]],
+                              check=False).returncode
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
+        return max(list(pool.map(run, FORMS)))
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin-dir", required=True)
+    parser.add_argument("--form", choices=[form[0] for form in FORMS])
+    options = parser.parse_args()
+    if not options.form:
+        return run_all(sys.argv[1:])
+    name, era, form = next(form for form in FORMS if form[0] == options.form)
+    return run_form(f"{options.bin_dir}/cassiakeel-sidecar", name, era, form)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
