Keep entries and departures of the directory over a return of the store

Seen by callers: requests were refused for up to two seconds after a return, because the rows that the copy lacks were gone at once while the next batch of changes was waited for (e2e_store_return: 503 at one or two of three nodes). A departure that was confirmed and is missing in the copy would be undone by nodes that read it.

Cause: the rows of an older copy were taken for the present, also for what they lack.

Change: DirectoryView keeps at a return what the node showed then. The kept entry stands in for a missing or older row of the copy for four seconds; a departure stays for good. DepartureKeeper writes lost departures of nodes that have ended again; the peers take turns. A node hands its view, not the stored rows, to a peer.

--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <asio/post.hpp>
 
+#include "cassiakeel/mesh/departure_keeper.h"
+#include "cassiakeel/mesh/directory_view.h"
 #include "decision_log.h"
 #include "peer_state.h"
 
@@ -64,7 +66,9 @@
         node(node),
         decode_policy(std::move(decode_policy)),
         redact_policy(std::move(redact_policy)),
-        log(clock) {
+        log(clock),
+        timers(timers),
+        grace_timer(timers) {
     this->history = StoreHistory::Create(
         [this](const StoreHistory::Return& noticed) {
           this->OnStoreReturned(noticed);
@@ -84,6 +88,14 @@
         this->RestoreFrom(*entry);
       }
     });
+    this->keeper = DepartureKeeper::Create(
+        store, this->history, timers, settings.directory_table, mesh.node,
+        [this](const DirectoryEntry& entry) {
+          this->log.Write(
+              "departure_rewritten",
+              pvt::JsonString("node", entry.node.Value()) + "," +
+                  pvt::JsonString("instance", entry.instance.Value()));
+        });
     this->watch = BackendWatch::Create(
         timers, clock,
         settings.report_interval * kMaxMissedReports + kReportMargin,
@@ -193,6 +205,9 @@
             pvt::JsonNumber("returns",
                             static_cast<std::int64_t>(this->history->epoch())));
     this->directory_position = {this->history->era(), 0};
+    BeginReturn(this->view, this->timers->Now());
+    this->grace_timer.Cancel();
+    this->keeper->OnStoreReturned();
     this->registrar->OnStoreReturned();
     this->policy_rows->OnStoreReturned(RereadSpread(nodes));
     this->directory_rows->OnStoreReturned(RereadSpread(nodes));
@@ -202,9 +217,25 @@
     if (this->policy_in_force.empty() || !this->directory_rows->loaded()) {
       return;
     }
-    this->node.SendState(
-        address, pvt::EncodePeerState(
-                     {this->policy_in_force, this->directory_rows->rows()}));
+    this->node.SendState(address, pvt::EncodePeerState({this->policy_in_force,
+                                                        this->VisibleRows()}));
+  }
+
+  // The rows of the directory as this node uses them. After a return of the
+  // store, the stored ones may lack what it knows.
+  RowMap VisibleRows() const {
+    if (this->view.kept.empty()) {
+      return this->directory_rows->rows();
+    }
+    RowMap rows;
+    for (const auto& [node, entry] :
+         VisibleDirectory(this->view, this->timers->Now())) {
+      const auto version = this->view.stored_versions.find(node);
+      rows[node.Value()] = {
+          node.Value(), EncodeDirectoryEntry(entry),
+          version == this->view.stored_versions.end() ? 0 : version->second};
+    }
+    return rows;
   }
 
   void OnPeerState(const std::string& text) {
@@ -329,13 +360,16 @@
   }
 
   void ApplyDirectory(const RowMap& rows, std::string_view source) {
-    auto directory = std::make_shared<const Directory>(DecodeDirectory(rows));
+    ApplyRows(this->view, rows, this->timers->Now());
     this->directory_position.era = this->history->era();
     for (const auto& [key, row] : rows) {
       this->directory_position.version =
           std::max(this->directory_position.version, row.version);
     }
     this->policy_rows->SetMaxPollWait(PolicyPollWait(rows.size()));
+    const auto now = this->timers->Now();
+    auto directory =
+        std::make_shared<const Directory>(VisibleDirectory(this->view, now));
     this->log.Write(
         "directory",
         pvt::JsonNumber("entries",
@@ -346,8 +380,16 @@
             "," +
             pvt::JsonNumber("era", SignedEra(this->directory_position.era)) +
             "," + pvt::JsonString("source", source));
+    this->keeper->Update(UnstoredDepartures(this->view), rows, *directory);
     this->RestoreBackend(*directory);
     this->node.SetDirectory(std::move(directory), this->directory_position);
+    if (const auto next = NextChange(this->view, now)) {
+      this->grace_timer.Set(*next, [this] {
+        this->ApplyDirectory(this->directory_rows->rows(), "grace_end");
+      });
+    } else {
+      this->grace_timer.Cancel();
+    }
   }
 
   // Restores the backend server from this node's directory row, so that a
@@ -397,7 +439,9 @@
   PolicyRedactor redact_policy;
   pvt::DecisionLog log;
   std::shared_ptr<StoreHistory> history;
+  std::shared_ptr<h1::TimerQueue> timers;
   std::shared_ptr<Registrar> registrar;
+  std::shared_ptr<DepartureKeeper> keeper;
   std::unique_ptr<BackendWatch> watch;
   std::shared_ptr<TableFollower> policy_rows;
   std::shared_ptr<TableFollower> directory_rows;
@@ -406,6 +450,9 @@
   /// refused.
   RowMap policy_in_force;
   StorePosition directory_position;
+  DirectoryView view;
+  /// Ends the grace of entries that the store lacks.
+  h1::Timer grace_timer;
   /// The directory, and with it this node's row, was read from the store or
   /// received from a peer. Until then, reports of the backend server are held
   /// back: a late one may be of a server whose departure is in the row.
