Take a policy that the store has rewritten under the number of a lost one

Cause: a policy was taken only under a higher number than that of the policy in force. If the store loses a policy in a return and the operator stores another one under its number, nodes that had read the lost one would never take it.

Change: under an equal number, other contents are taken once after a return, from the store only. A lower number is never taken. Also metrics of the store's era, returns, recovery time and departures written again, the event store_rebuilt, and the log lines of the control plane in a file of their own.

Measured: "a policy rewritten under the number of a lost one is taken" and "metrics show the era, the returns and the recovery from them" pass, with the 20 other cases on returns; the latter cannot pass before, the former was not run before.

--- a/src/include/cassiakeel/mesh/node.h
+++ b/src/include/cassiakeel/mesh/node.h
@@ -9,6 +9,7 @@
 #include "cassiakeel/h1/server_memory.h"
 #include "cassiakeel/mesh/backend.h"
 #include "cassiakeel/mesh/settings.h"
+#include "cassiakeel/mesh/store_history.h"
 #include "cassiakeel/mesh/traffic_policy.h"
 
 namespace cassiakeel::mesh {
@@ -42,6 +43,8 @@
   void SetPolicy(std::shared_ptr<const TrafficPolicy> policy);
   void SetDirectory(std::shared_ptr<const Directory> directory,
                     const StorePosition& position);
+  /// Sets what the metrics show of the store.
+  void SetStoreStatus(const StoreStatus& status);
   void SetPeerHandlers(PeerHandlers handlers);
   /// Sends encoded control state to the node at `address`.
   void SendState(const PeerAddress& address, std::string state);
--- a/src/include/cassiakeel/mesh/registrar.h
+++ b/src/include/cassiakeel/mesh/registrar.h
@@ -56,10 +56,11 @@
   /// publish, at once if there is none, or with false if that takes longer than
   /// a backend server waits for a confirmation.
   void WhenStored(std::function<void(bool stored)> handler);
+  /// Whether the store has the row to publish, as far as is known.
+  bool IsStored() const;
 
  private:
   Registrar() = default;
-  bool IsStored() const;
   void Reconcile();
   void Write();
   void OnWritten(const WriteReply& reply);
--- a/src/include/cassiakeel/mesh/store_history.h
+++ b/src/include/cassiakeel/mesh/store_history.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -21,6 +22,19 @@
   bool has_used_unplaced = false;
 };
 
+/// What an operator sees of the store's history, as metrics.
+struct StoreStatus {
+  /// 0 if the store names none.
+  StoreEra era;
+  /// Returns noticed since the start of the process.
+  std::uint64_t returns = 0;
+  /// Departures of other nodes' backend servers written again.
+  std::uint64_t departures_rewritten = 0;
+  /// Time from noticing the latest return until both tables were read and this
+  /// node's row was stored; nothing before the first return and until then.
+  std::optional<std::chrono::milliseconds> rebuild_time;
+};
+
 /// How a reply of the store relates to what was read before.
 enum class ReplyPlace {
   /// Belongs to the history that this node knows.
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -5,6 +5,7 @@
 
 #include "cassiakeel/mesh/departure_keeper.h"
 #include "cassiakeel/mesh/directory_view.h"
+#include "control_log.h"
 #include "decision_log.h"
 #include "peer_state.h"
 
@@ -81,6 +82,7 @@
                                         settings.directory_table, mesh.node);
     this->registrar->OnStored([this](std::uint64_t version) {
       this->ReloadDirectoryIfBehind({this->history->era(), version});
+      this->UpdateStoreStatus();
     });
     // A peer may have written a departure that this node lost in a restart.
     this->registrar->OnConflict([this](const StoredRow& row) {
@@ -95,6 +97,8 @@
               "departure_rewritten",
               pvt::JsonString("node", entry.node.Value()) + "," +
                   pvt::JsonString("instance", entry.instance.Value()));
+          ++this->store_status.departures_rewritten;
+          this->UpdateStoreStatus();
         });
     this->watch = BackendWatch::Create(
         timers, clock,
@@ -103,7 +107,10 @@
     this->policy_rows = TableFollower::Create(
         store, this->history, timers, settings.policy_table,
         kPolicyPollInterval,
-        [this](const RowMap& rows) { this->OnPolicyRows(rows); },
+        [this](const RowMap& rows) {
+          this->OnPolicyRows(rows, true);
+          this->UpdateStoreStatus();
+        },
         this->ConnectionLogger(settings.policy_table),
         this->ReadLogger(settings.policy_table));
     this->directory_rows = TableFollower::Create(
@@ -191,26 +198,37 @@
     }
   }
 
+  // Ends the recovery from a return once both tables were read and this node's
+  // row is stored. Called after each step.
+  void UpdateStoreStatus() {
+    this->store_status.era = this->history->era();
+    if (this->returned_at && this->policy_rows->is_current() &&
+        this->directory_rows->is_current() && this->registrar->IsStored()) {
+      const auto time = std::chrono::duration_cast<milliseconds>(
+          this->timers->Now() - *std::exchange(this->returned_at, {}));
+      this->store_status.rebuild_time = time;
+      this->log.Write("store_rebuilt",
+                      pvt::JsonNumber("after_ms", time.count()));
+    }
+    this->node.SetStoreStatus(this->store_status);
+  }
+
   // What the store has lost is in its tables again once their owners have read
   // them.
   void OnStoreReturned(const StoreHistory::Return& noticed) {
     const auto nodes = this->directory_rows->rows().size();
-    this->log.Write(
-        "store_returned",
-        pvt::JsonString("cause", noticed.cause) + "," +
-            pvt::JsonNumber("known_era", SignedEra(noticed.known_era)) + "," +
-            pvt::JsonNumber("era",
-                            SignedEra(noticed.era.value_or(StoreEra(0)))) +
-            "," +
-            pvt::JsonNumber("returns",
-                            static_cast<std::int64_t>(this->history->epoch())));
+    pvt::LogStoreReturned(this->log, noticed, this->history->epoch());
     this->directory_position = {this->history->era(), 0};
-    BeginReturn(this->view, this->timers->Now());
+    this->store_status.returns = this->history->epoch();
+    this->store_status.rebuild_time.reset();
+    this->returned_at = this->timers->Now();
+    BeginReturn(this->view, *this->returned_at);
     this->grace_timer.Cancel();
     this->keeper->OnStoreReturned();
     this->registrar->OnStoreReturned();
     this->policy_rows->OnStoreReturned(RereadSpread(nodes));
     this->directory_rows->OnStoreReturned(RereadSpread(nodes));
+    this->UpdateStoreStatus();
   }
 
   void OnStateRequest(const PeerAddress& address) {
@@ -246,7 +264,7 @@
       return;
     }
     // The store may turn this node away while a peer can read it.
-    this->OnPolicyRows(state->policy);
+    this->OnPolicyRows(state->policy, false);
     if (!this->directory_rows->loaded()) {
       this->ApplyDirectory(state->directory, "peer");
     }
@@ -254,31 +272,13 @@
 
   TableFollower::ConnectionHandler ConnectionLogger(const std::string& table) {
     return [this, table](bool up, const std::string& cause) {
-      this->log.Write(up ? "store_regained" : "store_lost",
-                      pvt::JsonString("table", table) + "," +
-                          pvt::JsonString("cause", cause));
+      pvt::LogConnection(this->log, table, up, cause);
     };
   }
 
-  // A row of this line tells whether the store went back to older versions, and
-  // what the node made of that.
   TableFollower::ReadHandler ReadLogger(const std::string& table) {
     return [this, table](const TableReadReport& report) {
-      this->log.WriteLimited(
-          "table_read",
-          pvt::JsonString("table", table) + "," +
-              pvt::JsonString("outcome", report.outcome) + "," +
-              pvt::JsonNumber("known_version",
-                              static_cast<std::int64_t>(report.known_version)) +
-              "," +
-              pvt::JsonNumber("version",
-                              static_cast<std::int64_t>(report.version)) +
-              "," +
-              pvt::JsonNumber("rows", static_cast<std::int64_t>(report.rows)) +
-              "," +
-              pvt::JsonNumber("era",
-                              static_cast<std::int64_t>(
-                                  report.era.value_or(StoreEra(0)).Value())));
+      pvt::LogTableRead(this->log, table, report);
     };
   }
 
@@ -294,14 +294,7 @@
     if (!this->own_row_known) {
       return;
     }
-    this->log.Write(
-        "backend",
-        pvt::JsonString("instance", backend.report.instance.Value()) + "," +
-            pvt::JsonNumber("present", static_cast<int>(backend.present)) +
-            "," +
-            pvt::JsonNumber("leaving",
-                            static_cast<int>(backend.report.leaving)) +
-            "," + pvt::JsonNumber("slots", backend.report.slots.Value()));
+    pvt::LogBackend(this->log, backend);
     this->node.SetBackend(backend,
                           std::exchange(this->pending_confirm, nullptr));
     DirectoryEntry entry;
@@ -322,7 +315,8 @@
     this->registrar->Publish(entry);
   }
 
-  void OnPolicyRows(const RowMap& rows) {
+  // `from_store`: the rows were read by this node, and not by a peer.
+  void OnPolicyRows(const RowMap& rows, bool from_store) {
     const auto found = rows.find(this->settings.policy_key);
     if (found == rows.end()) {
       return;
@@ -334,29 +328,37 @@
       return;
     }
     const auto version = (*policy)->version();
-    if (version <= this->policy_version) {
+    const auto value = this->redact_policy
+                           ? this->redact_policy(found->second.value)
+                           : found->second.value;
+    if (version < this->policy_version ||
+        (version == this->policy_version &&
+         !(from_store && this->IsRewritten(value)))) {
       return;
     }
-    this->log.Write(
-        "policy",
-        pvt::JsonNumber("version", static_cast<std::int64_t>(version.Value())) +
-            "," +
-            pvt::JsonNumber("routes", static_cast<std::int64_t>(
-                                          (*policy)->routes().size())));
+    pvt::LogPolicy(this->log, **policy);
     this->policy_version = version;
+    this->policy_epoch = this->history->epoch();
     this->policy_in_force = {*found};
-    if (this->redact_policy) {
-      auto& value = this->policy_in_force.begin()->second.value;
-      value = this->redact_policy(value);
-    }
+    this->policy_in_force.begin()->second.value = value;
     this->node.SetPolicy(*policy);
   }
 
+  // Whether the store has another policy under the number of the one in force,
+  // which it lost in a return. `value` is what it has now.
+  bool IsRewritten(const std::string& value) {
+    const auto epoch =
+        std::exchange(this->policy_epoch, this->history->epoch());
+    return epoch != this->policy_epoch && !this->policy_in_force.empty() &&
+           value != this->policy_in_force.begin()->second.value;
+  }
+
   void OnDirectoryRows(const RowMap& rows) {
     // First, so that a departure that was held back is published before its
     // confirmation.
     this->ApplyDirectory(rows, "store");
     this->registrar->OnRows(rows);
+    this->UpdateStoreStatus();
   }
 
   void ApplyDirectory(const RowMap& rows, std::string_view source) {
@@ -370,16 +372,8 @@
     const auto now = this->timers->Now();
     auto directory =
         std::make_shared<const Directory>(VisibleDirectory(this->view, now));
-    this->log.Write(
-        "directory",
-        pvt::JsonNumber("entries",
-                        static_cast<std::int64_t>(directory->size())) +
-            "," +
-            pvt::JsonNumber("version", static_cast<std::int64_t>(
-                                           this->directory_position.version)) +
-            "," +
-            pvt::JsonNumber("era", SignedEra(this->directory_position.era)) +
-            "," + pvt::JsonString("source", source));
+    pvt::LogDirectory(this->log, directory->size(), this->directory_position,
+                      source);
     this->keeper->Update(UnstoredDepartures(this->view), rows, *directory);
     this->RestoreBackend(*directory);
     this->node.SetDirectory(std::move(directory), this->directory_position);
@@ -446,11 +440,16 @@
   std::shared_ptr<TableFollower> policy_rows;
   std::shared_ptr<TableFollower> directory_rows;
   PolicyVersion policy_version;
+  /// Epoch of the store in which the policy in force was read last.
+  std::uint64_t policy_epoch = 0;
   /// The row of the policy in force. The store may contain a later one that was
   /// refused.
   RowMap policy_in_force;
   StorePosition directory_position;
   DirectoryView view;
+  StoreStatus store_status;
+  /// When the return was noticed from which this node is recovering.
+  std::optional<SteadyTime> returned_at;
   /// Ends the grace of entries that the store lacks.
   h1::Timer grace_timer;
   /// The directory, and with it this node's row, was read from the store or
--- a/src/libmesh/control_test_support.h
+++ b/src/libmesh/control_test_support.h
@@ -58,14 +58,18 @@
   return entry;
 }
 
+// A policy such as "7", or "7 x" with a route to the service x instead of back.
 inline Result<std::shared_ptr<const TrafficPolicy>> DecodeTestPolicy(
     const std::string& value) {
   if (value == "bad") {
     return Fail("decode policy", value);
   }
+  std::size_t end = 0;
+  const auto version = std::stoul(value, &end);
+  const auto service = end < value.size() ? value.substr(end + 1) : "back";
   return std::make_shared<const TrafficPolicy>(
-      PolicyVersion(std::stoul(value)),
-      std::vector<Route>{TestMesh::MakeRoute("back", true)}, InputLimits());
+      PolicyVersion(version),
+      std::vector<Route>{TestMesh::MakeRoute(service, true)}, InputLimits());
 }
 
 // A node with its control plane and its own store.
--- a/src/libmesh/metrics.cc
+++ b/src/libmesh/metrics.cc
@@ -136,6 +136,27 @@
   families.push_back(std::move(shares));
 }
 
+void AddStoreFamilies(const StoreStatus& store,
+                      std::vector<MetricFamily>& families) {
+  families.push_back(Gauge("cassiakeel_store_era",
+                           "Era of the store, 0 if it names none",
+                           static_cast<double>(store.era.Value())));
+  families.push_back(Counter("cassiakeel_store_returns_total",
+                             "Returns of the store from an older copy",
+                             store.returns));
+  families.push_back(
+      Counter("cassiakeel_departures_rewritten_total",
+              "Departures at other nodes written into the store again",
+              store.departures_rewritten));
+  if (store.rebuild_time) {
+    const std::chrono::duration<double> seconds = *store.rebuild_time;
+    families.push_back(
+        Gauge("cassiakeel_store_rebuild_seconds",
+              "Time until this node had recovered from the latest return",
+              seconds.count()));
+  }
+}
+
 }  // namespace
 
 std::string FormatMetrics(const Statistics& statistics,
@@ -191,6 +212,7 @@
               "Log lines left out to bound their volume",
               gauges.log_lines_dropped),
   };
+  AddStoreFamilies(gauges.store, families);
   if (!allotments.counts().empty()) {
     AddTenantFamilies(allotments, families);
   }
--- a/src/libmesh/metrics.h
+++ b/src/libmesh/metrics.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "allotment_exchange.h"
+#include "cassiakeel/mesh/store_history.h"
 #include "statistics.h"
 
 namespace cassiakeel::mesh::pvt {
@@ -15,6 +16,7 @@
   int gate_limit = 0;
   std::size_t server_memory = 0;
   std::uint64_t log_lines_dropped = 0;
+  StoreStatus store;
 };
 
 /// All metrics in the Prometheus text format.
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -176,6 +176,10 @@
     this->dispatcher->SetDirectory(std::move(next));
   }
 
+  void SetStoreStatus(const StoreStatus& status) {
+    this->store_status = status;
+  }
+
   void BeginStop() {
     if (this->stopping) {
       return;
@@ -195,6 +199,7 @@
     gauges.gate_limit = this->gate->CurrentLoad().limit;
     gauges.server_memory = this->server_memory->used_bytes();
     gauges.log_lines_dropped = this->log.dropped_lines();
+    gauges.store = this->store_status;
     return pvt::FormatMetrics(this->statistics, gauges,
                               this->dispatcher->allotment_exchange());
   }
@@ -389,6 +394,7 @@
   std::shared_ptr<const TrafficPolicy> policy;
   pvt::PeerVersions versions;
   PeerHandlers peer_handlers;
+  StoreStatus store_status;
   SteadyTime next_state_request;
   std::size_t directory_size = 0;
   bool has_directory = false;
@@ -427,6 +433,11 @@
                     position] { impl->SetDirectory(directory, position); });
 }
 
+void MeshNode::SetStoreStatus(const StoreStatus& status) {
+  this->impl->Post(
+      [impl = this->impl.get(), status] { impl->SetStoreStatus(status); });
+}
+
 void MeshNode::SetPeerHandlers(PeerHandlers handlers) {
   this->impl->Post(
       [impl = this->impl.get(), handlers = std::move(handlers)]() mutable {
--- a/src/libmesh/store_return_test.cc
+++ b/src/libmesh/store_return_test.cc
@@ -2,6 +2,7 @@
 // again. A "confirmed" row is one that the store has after that.
 
 #include <future>
+#include <sstream>
 
 #include "control_test_support.h"
 #include "peer_versions.h"
@@ -32,13 +33,21 @@
       this->store().Put("unused", "x");
     }
   }
-  bool HasPolicy(int version) {
+  // Value of a metric as text; empty if there is none.
+  std::string Metric(const std::string& name) {
     std::promise<std::string> text;
     this->node.node.CollectMetrics(
         [&text](std::string value) { text.set_value(std::move(value)); });
-    return text.get_future().get().find("cassiakeel_policy_version " +
-                                        std::to_string(version) + "\n") !=
-           std::string::npos;
+    std::istringstream lines(text.get_future().get());
+    for (std::string line; std::getline(lines, line);) {
+      if (line.starts_with(name + " ")) {
+        return line.substr(name.size() + 1);
+      }
+    }
+    return {};
+  }
+  bool HasPolicy(int version) {
+    return this->Metric("cassiakeel_policy_version") == std::to_string(version);
   }
 
   ControlLoop loop;
@@ -138,6 +147,47 @@
   CHECK(fixture.HasPolicy(8));
 }
 
+// Guards against a confirmed policy that is not in force because the store has
+// given the number of a lost one out again.
+TEST_CASE("a policy rewritten under the number of a lost one is taken") {
+  ReturnFixture fixture(StoreEra(1));
+  const auto status = [&fixture] {
+    return fixture.mesh.Call("n", "/back/1", "id").response.status;
+  };
+  const auto copy = fixture.store().Copy();
+  fixture.store().Put("config", "8");
+  fixture.Run(kRereadTime);
+  REQUIRE(status() == 503);
+  // In calm, a number stands for one policy.
+  fixture.store().Put("config", "8 other");
+  fixture.Run(kRereadTime);
+  CHECK(status() == 503);
+  fixture.store().ComeBackFrom(copy);
+  fixture.store().CutPolls();
+  fixture.Run(kRereadTime);
+  CHECK(status() == 503);
+  fixture.store().Put("config", "8 other");
+  fixture.Run(kRereadTime);
+  CHECK(status() == 404);
+  fixture.store().Put("config", "7");
+  fixture.Run(kRereadTime);
+  CHECK(fixture.HasPolicy(8));
+}
+
+// Guards against an operator who cannot see whether nodes have recovered.
+TEST_CASE("metrics show the era, the returns and the recovery from them") {
+  ReturnFixture fixture(StoreEra(4));
+  const auto copy = fixture.store().Copy();
+  CHECK(fixture.Metric("cassiakeel_store_era") == "4");
+  CHECK(fixture.Metric("cassiakeel_store_rebuild_seconds").empty());
+  fixture.store().ComeBackFrom(copy);
+  fixture.store().CutPolls();
+  fixture.Run(kRereadTime);
+  CHECK(fixture.Metric("cassiakeel_store_era") == "5");
+  CHECK(fixture.Metric("cassiakeel_store_returns_total") == "1");
+  CHECK(std::stod(fixture.Metric("cassiakeel_store_rebuild_seconds")) < 2);
+}
+
 // Guards against stale reads that are taken for a return.
 TEST_CASE("a stale read in the same era is repeated until it is not stale") {
   FollowerFixture table;
