Check the first read of the store against what a peer has told

Cause: the rows of a peer were taken for rows read from the store. The first read of this node then replaced a departure learned from the peer by the copy's older row, the end of a grace emptied a directory that came from a peer, and the peer's row versions were told to others as positions.

Change: the rows of a peer are kept entries until the first read.

--- a/src/include/cassiakeel/mesh/directory_view.h
+++ b/src/include/cassiakeel/mesh/directory_view.h
@@ -42,6 +42,10 @@
 /// Takes the rows as read at `now`. Rows that cannot be decoded are skipped.
 void ApplyRows(DirectoryView& view, const RowMap& rows, SteadyTime now);
 
+/// Takes the rows of a peer for what was known before the first read of this
+/// node. The next rows that are applied are checked against them.
+void ApplyPeerRows(DirectoryView& view, const RowMap& rows);
+
 /// Keeps what the view shows at `now`, because the store has come back from an
 /// older copy. The next rows that are applied are those of the copy.
 void BeginReturn(DirectoryView& view, SteadyTime now);
--- a/src/libmesh/directory_view.cc
+++ b/src/libmesh/directory_view.cc
@@ -76,6 +76,14 @@
   }
 }
 
+void ApplyPeerRows(DirectoryView& view, const RowMap& rows) {
+  view.kept.clear();
+  for (const auto& [node, entry] : DecodeDirectory(rows)) {
+    view.kept[node] = {entry, std::nullopt};
+  }
+  view.awaits_copy = true;
+}
+
 void BeginReturn(DirectoryView& view, SteadyTime now) {
   // Entries that are not shown any more still keep older rows from being used.
   for (const auto& [node, entry] : VisibleDirectory(view, now)) {
--- a/src/libmesh/directory_view_test.cc
+++ b/src/libmesh/directory_view_test.cc
@@ -123,6 +123,25 @@
   CHECK(Shown(view, 2 * kRewriteGrace)->instance.Value() == "old");
 }
 
+// Guards against a departure that a restarted node learned from a peer and
+// forgets with its first read of the store, and against a directory that is
+// gone when the grace ends.
+TEST_CASE("the first read does not undo what a peer has told") {
+  DirectoryView view;
+  ApplyPeerRows(
+      view, RowsOf({EntryOf("a", "i", 100, true), EntryOf("b", "i", 100)}, 9));
+  CHECK(Shown(view, 10 * kRewriteGrace)->departed);
+  CHECK(Shown(view, 10 * kRewriteGrace, "b"));
+  CHECK_FALSE(NextChange(view, kStart));
+  BeginReturn(view, kStart);
+  ApplyRows(view, RowsOf({EntryOf("a", "i", 100), EntryOf("c", "i", 100)}, 1),
+            kStart);
+  CHECK(Shown(view, 10 * kRewriteGrace)->departed);
+  CHECK(Shown(view, kWithinGrace, "b"));
+  CHECK_FALSE(Shown(view, kRewriteGrace, "b"));
+  CHECK(Shown(view, kRewriteGrace, "c"));
+}
+
 // Guards against a departure that is lost with its node, and against nodes that
 // all write it.
 TEST_CASE("peers write a lost departure of a node that has ended once") {
