Notice returns that some polls outlive, and those of odd headers

Cause, in four places: all nodes began their polls of the policy at the same moment after a change and ended them together, so that nobody noticed a return for up to 25 s; a position of a later era led to a read of the directory after 2.3 s only, and a later hint was lost while one was waiting; a call that failed was forgotten when the next reply named no era any more; reads that stay behind in one era were repeated for ever.

Change: polls of the policy wait for random times with a mean of half a second a node; an era that a peer has seen makes a node ask the store for its own within the reread spread; hints are compared with the newest one; a failed call counts until a reply names the known era; reads that are behind for 6 s are taken for a return.

--- a/src/include/cassiakeel/mesh/table_follower.h
+++ b/src/include/cassiakeel/mesh/table_follower.h
@@ -61,10 +61,14 @@
   /// at most `spread`, so that not all nodes do so at once. Called by the
   /// handler of StoreHistory.
   void OnStoreReturned(std::chrono::milliseconds spread);
-  /// Sets the longest wait of a poll from the next one on.
-  void SetMaxPollWait(std::chrono::milliseconds wait) {
-    this->max_poll_wait = wait;
+  /// Sets the mean wait of a poll from the next one on. The waits are random,
+  /// because all nodes poll again at the same moment after a change.
+  void SetMeanPollWait(std::chrono::milliseconds wait) {
+    this->mean_poll_wait = wait;
   }
+  /// Called when a peer has seen a later era. Asks the store for its era within
+  /// `spread`.
+  void CheckWithin(std::chrono::milliseconds spread);
   /// Called when a peer has seen a newer row version than this copy may
   /// contain. If `is_behind` still holds after a short delay, the table is read
   /// again on a new connection.
@@ -94,8 +98,9 @@
   // Tries again after a time that grows with `attempts`, which is incremented.
   void ScheduleRetry(int& attempts);
   void Retry();
-  // Returns true if the connection was lost before.
-  bool MarkConnected();
+  void MarkConnected();
+  // Called for each read that is older than the local copy.
+  bool IsStaleForLong();
   void ReportRead(const StoreReply& reply, std::string_view outcome);
   // Holds only a weak reference to this follower: the follower owns the timer
   // queue, so a strong reference would be a cycle.
@@ -106,7 +111,8 @@
   std::shared_ptr<h1::TimerQueue> timers;
   std::string table;
   std::chrono::milliseconds min_poll_interval{0};
-  std::chrono::milliseconds max_poll_wait{0};
+  /// Nothing for the longest wait.
+  std::optional<std::chrono::milliseconds> mean_poll_wait;
   ChangeHandler on_change;
   ConnectionHandler on_connection;
   ReadHandler on_read;
@@ -123,6 +129,10 @@
   /// A poll was answered since the store last lacked the history for one.
   bool has_polled = true;
   bool connected = true;
+  /// A call has failed since the last reply that named the known era.
+  bool was_away = false;
+  /// When the reads began that are older than the local copy.
+  std::optional<SteadyTime> stale_since;
   /// Failed calls in a row.
   int failures = 0;
   /// Whole reads since the last poll that was answered.
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -8,6 +8,7 @@
 #include "control_log.h"
 #include "decision_log.h"
 #include "peer_state.h"
+#include "store_pace.h"
 
 namespace cassiakeel::mesh {
 namespace {
@@ -24,30 +25,11 @@
 // plus kReportMargin without a report. Reports may be seconds late.
 constexpr int kMaxMissedReports = 3;
 constexpr milliseconds kReportMargin{700};
-// All nodes together poll the policy about this often, so that one of them
-// notices a return of the store that their connections have outlived.
-constexpr milliseconds kFleetPollInterval{500};
-// A node without traffic, which hears of nothing, notices it within these.
-constexpr milliseconds kMinPolicyPollWait{1500};
-constexpr milliseconds kMaxPolicyPollWait{25000};
-// After a return of the store, this many nodes read again in each millisecond,
-// but all of them within kMaxRereadSpread.
-constexpr std::size_t kRereadsPerMs = 1;
-constexpr milliseconds kMaxRereadSpread{1000};
 
 std::int64_t SignedEra(StoreEra era) {
   return static_cast<std::int64_t>(era.Value());
 }
 
-milliseconds PolicyPollWait(std::size_t nodes) {
-  return std::clamp(kFleetPollInterval * static_cast<std::int64_t>(nodes),
-                    kMinPolicyPollWait, kMaxPolicyPollWait);
-}
-
-milliseconds RereadSpread(std::size_t nodes) {
-  return std::min(kMaxRereadSpread, milliseconds(1 + nodes / kRereadsPerMs));
-}
-
 }  // namespace
 
 class MeshControl::Impl {
@@ -180,11 +162,15 @@
   }
 
   void OnPeerVersions(const StateVersions& peer) {
-    if (peer.policy > this->policy_version.Value()) {
-      this->policy_rows->ReloadIfBehind([this, peer_version = peer.policy] {
-        return this->policy_version.Value() < peer_version;
+    this->newest.policy = std::max(this->newest.policy, peer.policy);
+    if (this->newest.policy > this->policy_version.Value()) {
+      this->policy_rows->ReloadIfBehind([this] {
+        return this->policy_version.Value() < this->newest.policy;
       });
     }
+    if (peer.directory.era > this->history->era()) {
+      this->policy_rows->CheckWithin(pvt::RereadSpread(this->directory_size));
+    }
     this->ReloadDirectoryIfBehind(peer.directory);
   }
 
@@ -192,9 +178,10 @@
   // peer or this node's own write has shown to exist. A poll that began while
   // the store was silent has no reply until it times out, on all nodes alike.
   void ReloadDirectoryIfBehind(const StorePosition& position) {
-    if (position > this->directory_position) {
+    this->newest.directory = std::max(this->newest.directory, position);
+    if (this->newest.directory > this->directory_position) {
       this->directory_rows->ReloadIfBehind(
-          [this, position] { return this->directory_position < position; });
+          [this] { return this->directory_position < this->newest.directory; });
     }
   }
 
@@ -216,9 +203,10 @@
   // What the store has lost is in its tables again once their owners have read
   // them.
   void OnStoreReturned(const StoreHistory::Return& noticed) {
-    const auto nodes = this->directory_rows->rows().size();
     pvt::LogStoreReturned(this->log, noticed, this->history->epoch());
     this->directory_position = {this->history->era(), 0};
+    // What peers told may be of an earlier era that the store did not name.
+    this->newest.directory = this->directory_position;
     this->store_status.returns = this->history->epoch();
     this->store_status.rebuild_time.reset();
     this->returned_at = this->timers->Now();
@@ -226,8 +214,9 @@
     this->grace_timer.Cancel();
     this->keeper->OnStoreReturned();
     this->registrar->OnStoreReturned();
-    this->policy_rows->OnStoreReturned(RereadSpread(nodes));
-    this->directory_rows->OnStoreReturned(RereadSpread(nodes));
+    this->policy_rows->OnStoreReturned(pvt::RereadSpread(this->directory_size));
+    this->directory_rows->OnStoreReturned(
+        pvt::RereadSpread(this->directory_size));
     this->UpdateStoreStatus();
   }
 
@@ -266,7 +255,8 @@
     // The store may turn this node away while a peer can read it.
     this->OnPolicyRows(state->policy, false);
     if (!this->directory_rows->loaded()) {
-      this->ApplyDirectory(state->directory, "peer");
+      ApplyPeerRows(this->view, state->directory);
+      this->UseDirectory("peer");
     }
   }
 
@@ -356,31 +346,36 @@
   void OnDirectoryRows(const RowMap& rows) {
     // First, so that a departure that was held back is published before its
     // confirmation.
-    this->ApplyDirectory(rows, "store");
+    this->ApplyDirectory(rows);
     this->registrar->OnRows(rows);
     this->UpdateStoreStatus();
   }
 
-  void ApplyDirectory(const RowMap& rows, std::string_view source) {
+  void ApplyDirectory(const RowMap& rows) {
     ApplyRows(this->view, rows, this->timers->Now());
     this->directory_position.era = this->history->era();
     for (const auto& [key, row] : rows) {
       this->directory_position.version =
           std::max(this->directory_position.version, row.version);
     }
-    this->policy_rows->SetMaxPollWait(PolicyPollWait(rows.size()));
+    this->UseDirectory("store");
+    this->keeper->Update(UnstoredDepartures(this->view), rows,
+                         VisibleDirectory(this->view, this->timers->Now()));
+  }
+
+  void UseDirectory(std::string_view source) {
     const auto now = this->timers->Now();
     auto directory =
         std::make_shared<const Directory>(VisibleDirectory(this->view, now));
+    this->directory_size = directory->size();
+    this->policy_rows->SetMeanPollWait(
+        pvt::MeanPolicyPollWait(this->directory_size));
     pvt::LogDirectory(this->log, directory->size(), this->directory_position,
                       source);
-    this->keeper->Update(UnstoredDepartures(this->view), rows, *directory);
     this->RestoreBackend(*directory);
     this->node.SetDirectory(std::move(directory), this->directory_position);
     if (const auto next = NextChange(this->view, now)) {
-      this->grace_timer.Set(*next, [this] {
-        this->ApplyDirectory(this->directory_rows->rows(), "grace_end");
-      });
+      this->grace_timer.Set(*next, [this] { this->UseDirectory("grace_end"); });
     } else {
       this->grace_timer.Cancel();
     }
@@ -446,6 +441,9 @@
   /// refused.
   RowMap policy_in_force;
   StorePosition directory_position;
+  std::size_t directory_size = 0;
+  /// Newest versions that peers, or this node's own writes, have shown.
+  StateVersions newest;
   DirectoryView view;
   StoreStatus store_status;
   /// When the return was noticed from which this node is recovering.
--- a/src/libmesh/store_return_test.cc
+++ b/src/libmesh/store_return_test.cc
@@ -2,6 +2,7 @@
 // again. A "confirmed" row is one that the store has after that.
 
 #include <future>
+#include <set>
 #include <sstream>
 
 #include "control_test_support.h"
@@ -188,6 +189,89 @@
   CHECK(std::stod(fixture.Metric("cassiakeel_store_rebuild_seconds")) < 2);
 }
 
+// Guards against a return that is missed because the header went with it.
+TEST_CASE("a store that names its era no more may have come back") {
+  ReturnFixture fixture(StoreEra(1));
+  const auto copy = fixture.store().Copy();
+  fixture.AdvanceVersion(5);
+  fixture.Run(kRereadTime);
+  fixture.store().ComeBackFrom(copy);
+  fixture.store().era.reset();
+  fixture.store().CutPolls();
+  fixture.AdvanceVersion(30);
+  fixture.Run(milliseconds(400));
+  CHECK(fixture.Metric("cassiakeel_store_returns_total") == "1");
+}
+
+// Guards against nodes that all end their polls at the same moment, so that
+// none of them notices a return in between.
+TEST_CASE("polls of the policy wait for random times") {
+  FollowerFixture table;
+  auto& [loop, store, seen, follower] = table;
+  follower->SetMeanPollWait(milliseconds(1000));
+  std::set<milliseconds> waits;
+  for (int i = 0; i < 20; ++i) {
+    store.EndPolls();
+    loop.RunFor(milliseconds(6), store);
+    waits.insert(store.last_wait);
+  }
+  CHECK(waits.size() > 10);
+  CHECK(*waits.rbegin() <= milliseconds(2000));
+}
+
+// Guards against an older hint of a peer that hides a newer one.
+TEST_CASE("a peer in a later era makes a node ask the store for its era") {
+  TestMesh mesh;
+  ControlLoop loop;
+  ControlledNode node(mesh, loop, "n");
+  ControlledNode peer(mesh, loop, "p");
+  FakeBackend backend([](const std::shared_ptr<h1::Exchange>& exchange) {
+    exchange->Respond(FakeBackend::Success(exchange->request()));
+  });
+  mesh.SetBackend("p", backend);
+  for (auto* store : {&node.store, &peer.store}) {
+    store->Put("config", "7");
+    store->Put("p", EncodeDirectoryEntry(mesh.directory[NodeId("p")]));
+  }
+  node.control->Start();
+  peer.control->Start();
+  const auto run = [&](milliseconds time) {
+    for (auto left = time; left > milliseconds(0); left -= milliseconds(20)) {
+      loop.RunFor(milliseconds(10), node.store);
+      loop.RunFor(milliseconds(10), peer.store);
+    }
+  };
+  run(milliseconds(100));
+  // The store came back. The polls of one node have outlived that.
+  peer.store.ComeBackFrom(peer.store.Copy());
+  peer.store.CutPolls();
+  run(milliseconds(200));
+  node.store.ComeBackFrom(node.store.Copy());
+  REQUIRE(mesh.Call("n", "/back/1", "id").response.status == 200);
+  run(milliseconds(300));
+  std::promise<std::string> text;
+  node.node.CollectMetrics(
+      [&text](std::string value) { text.set_value(std::move(value)); });
+  CHECK(text.get_future().get().find("cassiakeel_store_era 2") !=
+        std::string::npos);
+}
+
+// Guards against a node that reads for ever because the era does not rise.
+TEST_CASE("reads that stay behind for long are taken for a return") {
+  ReturnFixture fixture(StoreEra(1));
+  const auto copy = fixture.store().Copy();
+  fixture.AdvanceVersion(20);
+  fixture.store().lose_history = true;
+  fixture.store().ReplyToFollowers();
+  fixture.Run(kRereadTime);
+  fixture.store().ComeBackFrom(copy);
+  fixture.store().era = StoreEra(1);
+  fixture.store().CutPolls();
+  fixture.store().Put("config", "8");
+  fixture.Run(milliseconds(9000));
+  CHECK(fixture.HasPolicy(8));
+}
+
 // Guards against stale reads that are taken for a return.
 TEST_CASE("a stale read in the same era is repeated until it is not stale") {
   FollowerFixture table;
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -9,9 +9,12 @@
 
 using std::chrono::milliseconds;
 
-// Longest wait of a poll unless another is set. A dead connection is detected
-// by keep-alive probes, not by this time.
-constexpr milliseconds kDefaultPollWait{25000};
+// Longest wait of a poll. A dead connection is detected by keep-alive probes,
+// not by this time.
+constexpr milliseconds kMaxPollWait{25000};
+constexpr milliseconds kMinPollWait{100};
+// Whole reads lag behind for some seconds after the history was dropped.
+constexpr milliseconds kMaxStaleTime{6000};
 // All followers of a table normally receive a change within this time of each
 // other.
 constexpr milliseconds kPropagationDelay{500};
@@ -40,7 +43,6 @@
   follower->timers = std::move(timers);
   follower->table = std::move(table);
   follower->min_poll_interval = min_poll_interval;
-  follower->max_poll_wait = kDefaultPollWait;
   follower->on_change = std::move(on_change);
   follower->on_connection = std::move(on_connection);
   follower->on_read = std::move(on_read);
@@ -73,7 +75,12 @@
 }
 
 void TableFollower::Follow() {
-  this->Poll(this->max_poll_wait);
+  auto wait = kMaxPollWait;
+  if (this->mean_poll_wait) {
+    wait = std::clamp(FullJitter(2 * *this->mean_poll_wait, this->rng),
+                      kMinPollWait, kMaxPollWait);
+  }
+  this->Poll(wait);
 }
 
 void TableFollower::Check() {
@@ -112,10 +119,22 @@
       });
 }
 
+void TableFollower::CheckWithin(milliseconds spread) {
+  this->RunAfter(FullJitter(spread, this->rng), [this,
+                                                 current = this->generation] {
+    if (current == this->generation && this->has_position && this->connected) {
+      ++this->generation;
+      this->Retry();
+    }
+  });
+}
+
 void TableFollower::OnStoreReturned(milliseconds spread) {
   this->has_position = false;
   this->is_placed = false;
   this->must_read = true;
+  this->was_away = false;
+  this->stale_since.reset();
   this->RunAfter(FullJitter(spread, this->rng),
                  [this, current = ++this->generation] {
                    if (current == this->generation) {
@@ -129,17 +148,19 @@
     this->OnFailure(reply);
     return;
   }
-  const bool was_away = this->MarkConnected();
+  this->MarkConnected();
   const bool is_older =
       this->has_position && reply.content.version < this->table_version;
-  if (is_older && placed) {
+  if (is_older && placed && !this->IsStaleForLong()) {
     this->ReportRead(reply, "stale");
     this->must_read = true;
     this->ScheduleRetry(this->rereads);
     return;
   }
-  if (this->has_position && !placed && (is_older || was_away)) {
-    // Without an era, numbers that rose while the store was away show nothing.
+  // Without an era, numbers that rose while the store was away show nothing.
+  const bool may_have_returned =
+      this->has_position && !placed && this->was_away;
+  if (is_older || may_have_returned) {
     this->ReportRead(reply, "returned");
     this->history->RecordReturn(is_older ? "table version fell"
                                          : "store was away and names no era");
@@ -155,6 +176,8 @@
   this->has_position = true;
   this->is_placed = placed;
   this->must_read = false;
+  this->was_away = false;
+  this->stale_since.reset();
   this->on_change(this->local_rows);
   this->Follow();
 }
@@ -186,6 +209,7 @@
     return;
   }
   this->has_polled = true;
+  this->was_away = false;
   this->rereads = 0;
   const bool changed = !reply.content.rows.empty();
   for (auto& row : reply.content.rows) {
@@ -210,14 +234,20 @@
   });
 }
 
-bool TableFollower::MarkConnected() {
+void TableFollower::MarkConnected() {
   this->failures = 0;
-  if (this->connected) {
-    return false;
+  if (!this->connected) {
+    this->connected = true;
+    this->on_connection(true, {});
+  }
+}
+
+bool TableFollower::IsStaleForLong() {
+  const auto now = this->timers->Now();
+  if (!this->stale_since) {
+    this->stale_since = now;
   }
-  this->connected = true;
-  this->on_connection(true, {});
-  return true;
+  return now - *this->stale_since >= kMaxStaleTime;
 }
 
 void TableFollower::ReportRead(const StoreReply& reply,
@@ -230,6 +260,7 @@
 }
 
 void TableFollower::OnFailure(const StoreReply& reply) {
+  this->was_away = true;
   if (this->connected) {
     this->connected = false;
     this->on_connection(false, reply.message);
