Spread the reads of returns that follow each other

Change: from the third return within five seconds of each other the spread grows, up to 5 s. Also: the entry of a node is made in registrar.cc, and the tests of single replies stand in a file of their own.

--- a/src/include/cassiakeel/mesh/registrar.h
+++ b/src/include/cassiakeel/mesh/registrar.h
@@ -10,12 +10,17 @@
 
 #include "cassiakeel/h1/timer_queue.h"
 #include "cassiakeel/mesh/backend.h"
+#include "cassiakeel/mesh/settings.h"
 #include "cassiakeel/mesh/shared_store.h"
 #include "cassiakeel/mesh/store_history.h"
 #include "cassiakeel/mesh/table_follower.h"
 
 namespace cassiakeel::mesh {
 
+/// The directory entry of the node with `settings` and its backend server.
+DirectoryEntry MakeDirectoryEntry(const MeshSettings& settings,
+                                  const LocalBackend& backend);
+
 /// Encodes and decodes directory rows as JSON objects. `DecodeDirectory` skips
 /// rows that cannot be decoded.
 std::string EncodeDirectoryEntry(const DirectoryEntry& entry);
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -189,10 +189,10 @@
   // row is stored. Called after each step.
   void UpdateStoreStatus() {
     this->store_status.era = this->history->era();
-    if (this->returned_at && this->policy_rows->is_current() &&
+    if (this->recovery_started && this->policy_rows->is_current() &&
         this->directory_rows->is_current() && this->registrar->IsStored()) {
       const auto time = std::chrono::duration_cast<milliseconds>(
-          this->timers->Now() - *std::exchange(this->returned_at, {}));
+          this->timers->Now() - *std::exchange(this->recovery_started, {}));
       this->store_status.rebuild_time = time;
       this->log.Write("store_rebuilt",
                       pvt::JsonNumber("after_ms", time.count()));
@@ -209,14 +209,20 @@
     this->newest.directory = this->directory_position;
     this->store_status.returns = this->history->epoch();
     this->store_status.rebuild_time.reset();
-    this->returned_at = this->timers->Now();
-    BeginReturn(this->view, *this->returned_at);
+    const auto now = this->timers->Now();
+    const bool is_repeated =
+        this->last_return && now - *this->last_return < pvt::kQuietTime;
+    this->recent_returns = is_repeated ? this->recent_returns + 1 : 0;
+    this->last_return = now;
+    this->recovery_started = now;
+    BeginReturn(this->view, now);
     this->grace_timer.Cancel();
     this->keeper->OnStoreReturned();
     this->registrar->OnStoreReturned();
-    this->policy_rows->OnStoreReturned(pvt::RereadSpread(this->directory_size));
-    this->directory_rows->OnStoreReturned(
-        pvt::RereadSpread(this->directory_size));
+    const auto spread =
+        pvt::RereadSpread(this->directory_size, this->recent_returns);
+    this->policy_rows->OnStoreReturned(spread);
+    this->directory_rows->OnStoreReturned(spread);
     this->UpdateStoreStatus();
   }
 
@@ -287,22 +293,7 @@
     pvt::LogBackend(this->log, backend);
     this->node.SetBackend(backend,
                           std::exchange(this->pending_confirm, nullptr));
-    DirectoryEntry entry;
-    entry.node = this->mesh.node;
-    entry.address = this->mesh.advertised_address.Value().empty()
-                        ? this->mesh.inbound_address
-                        : this->mesh.advertised_address;
-    entry.zone = this->mesh.zone;
-    // A server that left before its first report has not named its service.
-    entry.service = backend.report.service.Value().empty()
-                        ? this->mesh.service
-                        : backend.report.service;
-    entry.instance = backend.report.instance;
-    entry.slots = backend.report.slots;
-    entry.started_at_ms = backend.report.started_at_ms;
-    entry.leaving = backend.report.leaving || !backend.present;
-    entry.departed = backend.report.leaving;
-    this->registrar->Publish(entry);
+    this->registrar->Publish(MakeDirectoryEntry(this->mesh, backend));
   }
 
   // `from_store`: the rows were read by this node, and not by a peer.
@@ -446,8 +437,10 @@
   StateVersions newest;
   DirectoryView view;
   StoreStatus store_status;
+  std::optional<SteadyTime> last_return;
+  int recent_returns = 0;
   /// When the return was noticed from which this node is recovering.
-  std::optional<SteadyTime> returned_at;
+  std::optional<SteadyTime> recovery_started;
   /// Ends the grace of entries that the store lacks.
   h1::Timer grace_timer;
   /// The directory, and with it this node's row, was read from the store or
--- a/src/libmesh/registrar.cc
+++ b/src/libmesh/registrar.cc
@@ -41,6 +41,26 @@
 
 }  // namespace
 
+DirectoryEntry MakeDirectoryEntry(const MeshSettings& settings,
+                                  const LocalBackend& backend) {
+  const auto& report = backend.report;
+  DirectoryEntry entry;
+  entry.node = settings.node;
+  entry.address = settings.advertised_address.Value().empty()
+                      ? settings.inbound_address
+                      : settings.advertised_address;
+  entry.zone = settings.zone;
+  // A server that left before its first report has not named its service.
+  entry.service =
+      report.service.Value().empty() ? settings.service : report.service;
+  entry.instance = report.instance;
+  entry.slots = report.slots;
+  entry.started_at_ms = report.started_at_ms;
+  entry.leaving = report.leaving || !backend.present;
+  entry.departed = report.leaving;
+  return entry;
+}
+
 std::string EncodeDirectoryEntry(const DirectoryEntry& entry) {
   return json{
       {"address", entry.address.Value()}, {"zone", entry.zone.Value()},
--- /dev/null
+++ b/src/libmesh/store_history_test.cc
@@ -0,0 +1,57 @@
+#include "cassiakeel/mesh/store_history.h"
+
+#include <catch2/catch.hpp>
+
+#include "peer_versions.h"
+
+namespace cassiakeel::mesh {
+namespace {
+
+StoreHistoryState StateOf(std::uint64_t era, std::uint64_t epoch) {
+  return {StoreEra(era), epoch, false};
+}
+
+}  // namespace
+
+TEST_CASE("replies are placed by their era and the epoch of their call") {
+  const auto known = StateOf(3, 2);
+  const auto place = [&known](std::optional<std::uint64_t> era,
+                              std::uint64_t epoch) {
+    return PlaceReply(known, era ? std::optional(StoreEra(*era)) : std::nullopt,
+                      epoch);
+  };
+  CHECK(place(3, 2) == ReplyPlace::kSame);
+  CHECK(place(3, 1) == ReplyPlace::kLate);
+  CHECK(place(4, 2) == ReplyPlace::kReturned);
+  CHECK(place(4, 1) == ReplyPlace::kReturned);
+  CHECK(place(9, 2) == ReplyPlace::kReturned);
+  CHECK(place(2, 1) == ReplyPlace::kLate);
+  // A call of this epoch was sent after the higher era had been seen.
+  CHECK(place(2, 2) == ReplyPlace::kReturned);
+  CHECK(place(std::nullopt, 2) == ReplyPlace::kUnplaced);
+  CHECK(place(std::nullopt, 1) == ReplyPlace::kLate);
+  // The first era is no return, unless rows were taken without one before.
+  CHECK(PlaceReply(StateOf(0, 0), StoreEra(5), 0) == ReplyPlace::kSame);
+  CHECK(PlaceReply({StoreEra(0), 0, true}, StoreEra(5), 0) ==
+        ReplyPlace::kReturned);
+  CHECK(PlaceReply(StateOf(0, 1), StoreEra(5), 0) == ReplyPlace::kLate);
+}
+
+// Guards against a peer's older numbers that hide the newer state behind them.
+TEST_CASE("positions of peers are ordered by the era before the version") {
+  pvt::PeerVersions versions;
+  const SteadyTime now;
+  pvt::SetOwnDirectory(versions, {StoreEra(1), 90});
+  CHECK_FALSE(pvt::RecordPeerVersions(versions, {0, {StoreEra(1), 80}}, now));
+  CHECK(pvt::RecordPeerVersions(versions, {0, {StoreEra(2), 10}}, now));
+  CHECK_FALSE(pvt::RecordPeerVersions(versions, {0, {StoreEra(1), 95}}, now));
+  pvt::SetOwnDirectory(versions, {StoreEra(2), 10});
+  CHECK(pvt::RecordPeerVersions(versions, {0, {StoreEra(2), 11}}, now));
+  // A store without an era: what peers told before counts for nothing.
+  versions = {};
+  pvt::SetOwnDirectory(versions, {StoreEra(0), 90});
+  pvt::SetOwnDirectory(versions, {StoreEra(0), 10});
+  CHECK(pvt::RecordPeerVersions(versions, {0, {StoreEra(0), 11}}, now));
+}
+
+}  // namespace cassiakeel::mesh
--- a/src/libmesh/store_pace.cc
+++ b/src/libmesh/store_pace.cc
@@ -12,6 +12,10 @@
 constexpr milliseconds kMinMeanPollWait{1000};
 constexpr milliseconds kRereadInterval{1};
 constexpr milliseconds kMaxRereadSpread{1000};
+// Returns that come one after the other without a longer spread.
+constexpr int kFreeReturns = 2;
+constexpr milliseconds kFirstRepeatedSpread{250};
+constexpr int kMaxDoublings = 4;
 
 }  // namespace
 
@@ -20,9 +24,14 @@
                   kFleetPollInterval * static_cast<std::int64_t>(nodes));
 }
 
-milliseconds RereadSpread(std::size_t nodes) {
-  return std::min(kMaxRereadSpread,
-                  kRereadInterval * static_cast<std::int64_t>(nodes + 1));
+milliseconds RereadSpread(std::size_t nodes, int recent_returns) {
+  const auto spread = std::min(
+      kMaxRereadSpread, kRereadInterval * static_cast<std::int64_t>(nodes + 1));
+  if (recent_returns < kFreeReturns) {
+    return spread;
+  }
+  const auto doublings = std::min(recent_returns - kFreeReturns, kMaxDoublings);
+  return spread + kFirstRepeatedSpread * (1 << doublings);
 }
 
 }  // namespace cassiakeel::mesh::pvt
--- a/src/libmesh/store_pace.h
+++ b/src/libmesh/store_pace.h
@@ -14,6 +14,11 @@
 std::chrono::milliseconds MeanPolicyPollWait(std::size_t nodes);
 
 /// Time over which the nodes spread their reads after a return of the store.
-std::chrono::milliseconds RereadSpread(std::size_t nodes);
+/// `recent_returns`: returns before this one, each within kQuietTime of the
+/// next. A store whose era alternates is not read without a pause.
+std::chrono::milliseconds RereadSpread(std::size_t nodes,
+                                       int recent_returns = 0);
+
+inline constexpr std::chrono::milliseconds kQuietTime{5000};
 
 }  // namespace cassiakeel::mesh::pvt
--- a/src/libmesh/store_return_test.cc
+++ b/src/libmesh/store_return_test.cc
@@ -6,7 +6,7 @@
 #include <sstream>
 
 #include "control_test_support.h"
-#include "peer_versions.h"
+#include "store_pace.h"
 
 namespace cassiakeel::mesh {
 namespace {
@@ -78,10 +78,6 @@
   std::vector<Call> calls;
 };
 
-StoreHistoryState StateOf(std::uint64_t era, std::uint64_t epoch) {
-  return {StoreEra(era), epoch, false};
-}
-
 }  // namespace
 
 // Guards against a confirmed policy that is not in force: the reread with the
@@ -256,6 +252,20 @@
         std::string::npos);
 }
 
+// Guards against a node that reads without a pause.
+TEST_CASE("eras that alternate make a node read at growing intervals") {
+  ReturnFixture fixture(StoreEra(1));
+  const int reads = fixture.store().reads;
+  for (int i = 0; i < 200; ++i) {
+    fixture.store().era = StoreEra(1 + i % 2);
+    fixture.store().EndPolls();
+    fixture.Run(milliseconds(10));
+  }
+  CHECK(fixture.store().reads < reads + 30);
+  CHECK(pvt::RereadSpread(1000, 1) == milliseconds(1000));
+  CHECK(pvt::RereadSpread(1000, 9) == milliseconds(5000));
+}
+
 // Guards against a node that reads for ever because the era does not rise.
 TEST_CASE("reads that stay behind for long are taken for a return") {
   ReturnFixture fixture(StoreEra(1));
@@ -414,30 +424,6 @@
   CHECK(node.backend.runs == 0);
 }
 
-TEST_CASE("replies are placed by their era and the epoch of their call") {
-  const auto known = StateOf(3, 2);
-  const auto place = [&known](std::optional<std::uint64_t> era,
-                              std::uint64_t epoch) {
-    return PlaceReply(known, era ? std::optional(StoreEra(*era)) : std::nullopt,
-                      epoch);
-  };
-  CHECK(place(3, 2) == ReplyPlace::kSame);
-  CHECK(place(3, 1) == ReplyPlace::kLate);
-  CHECK(place(4, 2) == ReplyPlace::kReturned);
-  CHECK(place(4, 1) == ReplyPlace::kReturned);
-  CHECK(place(9, 2) == ReplyPlace::kReturned);
-  CHECK(place(2, 1) == ReplyPlace::kLate);
-  // A call of this epoch was sent after the higher era had been seen.
-  CHECK(place(2, 2) == ReplyPlace::kReturned);
-  CHECK(place(std::nullopt, 2) == ReplyPlace::kUnplaced);
-  CHECK(place(std::nullopt, 1) == ReplyPlace::kLate);
-  // The first era is no return, unless rows were taken without one before.
-  CHECK(PlaceReply(StateOf(0, 0), StoreEra(5), 0) == ReplyPlace::kSame);
-  CHECK(PlaceReply({StoreEra(0), 0, true}, StoreEra(5), 0) ==
-        ReplyPlace::kReturned);
-  CHECK(PlaceReply(StateOf(0, 1), StoreEra(5), 0) == ReplyPlace::kLate);
-}
-
 // Guards against a return that is never noticed after an odd header.
 TEST_CASE("a missing, falling or jumping era leads to a new read") {
   ReturnFixture fixture(StoreEra(5));
@@ -468,21 +454,4 @@
   CHECK(fixture.HasPolicy(9));
 }
 
-// Guards against a peer's older numbers that hide the newer state behind them.
-TEST_CASE("positions of peers are ordered by the era before the version") {
-  pvt::PeerVersions versions;
-  const SteadyTime now;
-  pvt::SetOwnDirectory(versions, {StoreEra(1), 90});
-  CHECK_FALSE(pvt::RecordPeerVersions(versions, {0, {StoreEra(1), 80}}, now));
-  CHECK(pvt::RecordPeerVersions(versions, {0, {StoreEra(2), 10}}, now));
-  CHECK_FALSE(pvt::RecordPeerVersions(versions, {0, {StoreEra(1), 95}}, now));
-  pvt::SetOwnDirectory(versions, {StoreEra(2), 10});
-  CHECK(pvt::RecordPeerVersions(versions, {0, {StoreEra(2), 11}}, now));
-  // A store without an era: what peers told before counts for nothing.
-  versions = {};
-  pvt::SetOwnDirectory(versions, {StoreEra(0), 90});
-  pvt::SetOwnDirectory(versions, {StoreEra(0), 10});
-  CHECK(pvt::RecordPeerVersions(versions, {0, {StoreEra(0), 11}}, now));
-}
-
 }  // namespace cassiakeel::mesh
