Tests: departures, faults of answers and calm traffic over a return of the store

The form of a return now also covers departures that the copy lacks, answers that arrive after the return, lost answers, late writes, a dropped history, nodes that are turned away, a store that is away or silent, and the share of requests that is served. What only these forms use of the store's stand-in moves to a subclass.

--- a/testsuite/harness/soak.py
+++ b/testsuite/harness/soak.py
@@ -14,6 +14,8 @@
 import time
 
 from processes import free_addresses
+from soak_returns import PLANTS as RETURN_PLANTS
+from soak_returns import Returns
 from soak_standins import (DRAIN_S, FakeBackend, FaultyProxy, FakeStore,
                            send_request)
 from soak_tenants import CHANGES, StoreProxy, Tenants
@@ -189,6 +191,12 @@
             # injected violations need.
             self.faults = ("policy",) if injected_violation in TENANT_PLANTS \
                 else FAULTS + TENANT_FAULTS
+        self.returns = Returns(self.store, self.nodes, TABLES, self.checker,
+                               with_tenants)
+        # Of its own, so that it does not change the schedule of the other faults.
+        self.rng_of_returns = random.Random(f"returns {seed}")
+        if injected_violation in RETURN_PLANTS:
+            self.faults = ("policy",)
         self.version = 0
         self.counter = 0
         self.tasks = set()
@@ -212,7 +220,10 @@
             routes += [{**route, "name": f"{route['name']}-public", "public": True,
                         "pathPrefix": f"/public{route['pathPrefix']}"}
                        for route in routes]
-        await self.store.put(TABLES[0], "config", json.dumps(config).encode())
+        routes += self.returns.routes(self.version)
+        policy = json.dumps(config).encode()
+        await self.store.put(TABLES[0], "config", policy)
+        self.returns.on_published(self.version, policy)
 
     async def send_reports(self, node):
         while True:
@@ -341,6 +352,8 @@
 
     async def inject_faults(self):
         end = time.monotonic() + self.seconds
+        if not self.injected_violation:
+            self.spawn(self.returns.inject_returns(self.rng_of_returns, self.seconds))
         while time.monotonic() < end:
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
             # A fault does not wait for the previous one, so that faults overlap.
@@ -349,7 +362,9 @@
     def inject_violation(self):
         """Injects a violation to show that the soak test detects it."""
         checker = self.checker
-        if self.tenants:
+        if self.injected_violation in RETURN_PLANTS:
+            self.returns.inject_violation(self.injected_violation)
+        elif self.tenants:
             self.tenants.inject_violation(checker, self.injected_violation)
         original = checker.on_run
 
@@ -375,8 +390,11 @@
             await node.store_proxy.start()
             node.start()
             self.spawn(self.send_reports(node))
+        self.spawn(self.returns.keep_copies())
+        self.spawn(self.returns.check_rows())
         await asyncio.sleep(3)
         for node in self.nodes:
+            self.spawn(self.returns.watch_policy(node))
             self.spawn(self.send_requests(node))
         await self.inject_faults()
         if not self.injected_violation:
@@ -441,7 +459,7 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--tenants", action="store_true",
                         help="clients show keys of tenants with allotments")
-    parser.add_argument("--plant", choices=PLANTS + TENANT_PLANTS)
+    parser.add_argument("--plant", choices=PLANTS + TENANT_PLANTS + RETURN_PLANTS)
     options = parser.parse_args()
     if options.plant in TENANT_PLANTS and not options.tenants:
         parser.error(f"--plant {options.plant} needs --tenants")
@@ -457,6 +475,7 @@
         print(f"seed {seed}: {soak.counter} requests, {soak.checker.served} served, "
               f"{soak.checker.crossed_close} crossed a close, "
               f"{len(violations_found)} violations, logs in {log_dir}"
+              f"{soak.returns.summary()}"
               f"{soak.tenants.summary() if soak.tenants else ''}", flush=True)
         remaining = [line for line in violations_found if line.startswith("end:")]
         for line in violations_found[:10] + remaining:
--- a/testsuite/harness/soak_standins.py
+++ b/testsuite/harness/soak_standins.py
@@ -91,8 +91,6 @@
         self.version = 0
         self.mode = "up"
         self.era = era
-        # Called for the value of the era field; None leaves it out.
-        self.era_field = lambda era: era
         self.oldest_kept_version = 0
         self.rows_changed = asyncio.Condition()
         # Polls with a lower number are reset.
@@ -101,8 +99,6 @@
         # only when their table changes behind the number that they wait for.
         self.first_poll_of_era = 0
         self.polls = 0
-        # Copy that whole reads show while they are stale.
-        self.stale_copy = None
 
     async def put(self, table, key, value):
         async with self.rows_changed:
@@ -130,18 +126,21 @@
                 self.first_poll = self.polls
                 self.rows_changed.notify_all()
 
+    def era_field(self):
+        """Value of the era field; None leaves it out."""
+        return self.era
+
     def answer(self, status, body=b""):
-        era = None if self.era is None else self.era_field(self.era)
+        era = self.era_field()
         return format_response(status, body,
                                {} if era is None else {"Store-Era": era})
 
-    def reply(self, table, after, rows=None, version=None):
-        rows = self.rows if rows is None else rows
+    def reply(self, table, after):
         rows = [{"table": table, "part": "", "key": key, "rowVersion": version,
                  "value": base64.b64encode(value).decode()}
-                for (owner, key), (value, version) in sorted(rows.items())
+                for (owner, key), (value, version) in sorted(self.rows.items())
                 if owner == table and version > after]
-        return {"rows": rows, "rowVersion": version or self.version, "nowMs": 0,
+        return {"rows": rows, "rowVersion": self.version, "nowMs": 0,
                 "hasMore": False}
 
     async def respond(self, line, _, body):
@@ -155,9 +154,8 @@
         if path == "/rows-tx" and method == "POST":
             return await self.write(json.loads(body))
         if path == "/rows-get":
-            rows, version = self.stale_copy or (self.rows, self.version)
             return self.answer(200, json.dumps(
-                self.reply(fields["table"], -1, rows, version)).encode())
+                self.reply(fields["table"], -1)).encode())
         if path == "/rows-feed":
             return await self.feed(fields)
         return self.answer(404)
@@ -247,16 +245,18 @@
         status = 500 if self.mode == "failing" else 200
         return format_response(status, f"{attempt}:{self.instance}".encode(), fields)
 
-    async def report(self):
-        self.sequence += 1
-        body = json.dumps({
+    def report_body(self, state, sequence):
+        return json.dumps({
             "service": self.service, "address": self.address, "zone": "z",
-            "version": "v1", "slots": 4, "state": self.state,
-            "coldRemainingMs": 0, "sequence": self.sequence,
+            "version": "v1", "slots": 4, "state": state,
+            "coldRemainingMs": 0, "sequence": sequence,
             "born": self.started_at_ms}).encode()
+
+    async def report(self):
+        self.sequence += 1
         state, instance = self.state, self.instance
-        status = await post(self.report_address,
-                            f"/Instances.Heartbeat/{instance}", body)
+        status = await post(self.report_address, f"/Instances.Heartbeat/{instance}",
+                            self.report_body(state, self.sequence))
         if status == 200 and state == "draining" and self.instance == instance \
                 and self.confirmed_at is None:
             self.confirmed_at = time.monotonic()
--- a/testsuite/harness/store_return.py
+++ b/testsuite/harness/store_return.py
@@ -15,8 +15,12 @@
 import tempfile
 import time
 
+import store_return_departures
+import store_return_faults
+import store_return_requests
 from soak import TABLES, Soak
 from soak_standins import send_request
+from store_return_standins import ReturningStore
 
 # The users' bounds: a policy is in force (configMs) after its confirmation, at nodes
 # that have been in touch with a stable store (stabilityWindowMs).
@@ -41,9 +45,12 @@
         self.name = name
         self.log_dir = tempfile.mkdtemp(prefix=f"store-return-{name}-")
         self.soak = Soak(program, 1, NODES, 0, self.log_dir, None)
-        self.store = self.soak.store
-        self.store.era = era
+        self.store = self.soak.store = ReturningStore(self.soak.store_address, era)
         self.nodes = self.soak.nodes
+        for node in self.nodes:
+            node.store_proxy.store = self.store
+        # Nodes whose backend servers send no reports.
+        self.silent = set()
         self.version = 0
         self.policies = {}
         self.findings = []
@@ -66,11 +73,20 @@
             await node.proxy.start()
             await node.store_proxy.start()
             node.start()
-            self.soak.spawn(self.soak.send_reports(node))
-        await asyncio.sleep(START_S)
+            self.soak.spawn(self.send_reports(node))
+        end = time.monotonic() + START_S
+        while self.logged("directory", f'"entries":{NODES},') < NODES and \
+                time.monotonic() < end:
+            await asyncio.sleep(0.05)
         for node in self.nodes:
             self.soak.spawn(self.watch_policy(node))
 
+    async def send_reports(self, node):
+        while True:
+            if node not in self.silent:
+                await node.backend.report()
+            await asyncio.sleep(0.5)
+
     async def publish(self):
         """Stores the next version, which adds the route /vN/. Returns the time of its
         confirmation."""
@@ -98,9 +114,9 @@
         await self.store.come_back(copy, **options)
         self.returned_at = time.monotonic()
 
-    async def has_version(self, node, version):
-        """Whether the node handles a request as `version` allows; None if it does not
-        answer."""
+    async def status_of(self, node, version):
+        """Sends a request for the route that `version` added. Returns the status, or
+        None without a response."""
         self.probes += 1
         attempt = f"{node.name}-{self.probes}"
         self.soak.checker.sent[attempt] = {
@@ -109,7 +125,13 @@
         message = (f"GET /v{version}/x HTTP/1.1\r\nHost: h\r\n"
                    f"X-Attempt-Id: {attempt}\r\nX-Timeout-Ms: 1000\r\n\r\n")
         response, _ = await send_request(node.outbound, message.encode(), 1.5)
-        return None if response is None or response[0] == 503 else response[0] != 404
+        return response[0] if response else None
+
+    async def has_version(self, node, version):
+        """Whether the node handles a request as `version` allows; None if it does not
+        answer."""
+        status = await self.status_of(node, version)
+        return None if status in (None, 503) else status != 404
 
     async def watch_policy(self, node):
         """Records a node that handles a request as an older version allows than one
@@ -156,24 +178,43 @@
                 in self.store.rows.items() if table == TABLES[1]}
 
     async def check_rows(self, nodes=None):
-        """Checks that the rows of `nodes` are in the store again in time."""
-        names = {node.name for node in nodes or self.nodes}
-        deadline = self.returned_at + REWRITTEN_S + MARGIN_S
-        while names - self.stored_rows().keys() and time.monotonic() < deadline:
+        """Checks that the rows of `nodes`, with the processes of their backend servers
+        now, are in the store again in time."""
+        await self.wait_for_rows(
+            nodes or self.nodes, REWRITTEN_S,
+            lambda node, row: row["instance"] == node.backend.instance)
+
+    async def check_departed(self, nodes, limit_s):
+        """Checks that the rows of `nodes` say departed within `limit_s` of the
+        return."""
+        await self.wait_for_rows(
+            nodes, limit_s, lambda node, row: row["departed"] and
+            row["instance"] == node.backend.instance)
+
+    async def wait_for_rows(self, nodes, limit_s, is_right):
+        def wrong():
+            rows = self.stored_rows()
+            return {node.name: rows.get(node.name) for node in nodes
+                    if node.name not in rows or not is_right(node, rows[node.name])}
+
+        deadline = self.returned_at + limit_s + MARGIN_S
+        while wrong() and time.monotonic() < deadline:
             await asyncio.sleep(0.02)
-        missing = names - self.stored_rows().keys()
         waited = time.monotonic() - self.returned_at
-        self.seen.append(f"rows after {waited:.1f} s: {len(names - missing)} of "
-                         f"{len(names)}")
-        self.expect(not missing, f"rows not written again: {sorted(missing)}")
+        missing = wrong()
+        self.seen.append(f"rows after {waited:.1f} s: {len(nodes) - len(missing)} of "
+                         f"{len(nodes)}")
+        self.expect(not missing,
+                    f"rows not written again after {waited:.1f} s: {missing}")
 
-    def logged(self, event):
-        """Number of lines with `event` in the logs of all nodes."""
+    def logged(self, event, text=""):
+        """Number of lines with `event` and `text` in the logs of all nodes."""
         count = 0
         for node in self.nodes:
             path = os.path.join(self.log_dir, f"{node.name}.log")
             with open(path, encoding="utf-8") as log:
-                count += sum(f'"event":"{event}"' in line for line in log)
+                count += sum(f'"event":"{event}"' in line and text in line
+                             for line in log)
         return count
 
 
@@ -260,40 +301,6 @@
     await trial.check_rows(trial.nodes[1:])
 
 
-async def odd_header(trial, field):
-    trial.store.era_field = field
-    await trial.publish()
-    await trial.use_numbers(20)
-    await asyncio.sleep(0.5)
-    await trial.come_back(trial.first_copy)
-    await trial.rewrite_policy()
-    confirmed = await trial.publish()
-    await asyncio.gather(trial.use_numbers(80), trial.check_rows(),
-                         trial.check_in_force(confirmed))
-
-
-def absent_at_times():
-    answers = iter(range(1 << 30))
-    return lambda era: era if next(answers) % 3 else None
-
-
-async def stale_reads(trial):
-    """Whole reads lag behind for 3 s after the history was dropped."""
-    stale = trial.store.copy()
-    await trial.publish()
-    await asyncio.sleep(1.0)
-    trial.store.stale_copy = stale
-    trial.store.drop_history()
-    trial.store.first_poll = trial.store.polls
-    confirmed = await trial.publish()
-    await asyncio.sleep(3.0)
-    trial.store.stale_copy = None
-    trial.returned_at = time.monotonic()
-    await trial.check_in_force(confirmed)
-    returns = trial.logged("store_returned")
-    trial.expect(returns == 0, f"stale reads were taken for {returns} returns")
-
-
 # Name, era of the store (None: no header), form.
 FORMS = (
     ("slowly", 1, slowly),
@@ -305,13 +312,8 @@
     ("two-returns", 1, two_returns),
     ("paused-node", 1, paused_node),
     ("restarted-node", 1, restarted_node),
-    ("header-absent-at-times", 1,
-     lambda trial: odd_header(trial, absent_at_times())),
-    ("header-no-number", 1, lambda trial: odd_header(trial, lambda era: f"x{era}")),
-    ("header-falls", 9, lambda trial: odd_header(trial, lambda era: 20 - era)),
-    ("header-jumps", 1, lambda trial: odd_header(trial, lambda era: era * 1000)),
-    ("stale-reads", 1, stale_reads),
-)
+) + store_return_faults.FORMS + store_return_departures.FORMS \
+    + store_return_requests.FORMS
 
 
 async def play_form(trial, form):
