--- a/testsuite/harness/store_return_standins.py
+++ b/testsuite/harness/store_return_standins.py
@@ -8,7 +8,8 @@
 
 class ReturningStore(FakeStore):
     """`header` maps the era to the value of its header; None leaves the header out.
-    `hold(path, response)` ends when a formed response may be sent. Answers to the paths in `lost` are not sent; the call has been done."""
+    `hold(path, response)` ends when a formed response may be sent. Answers to the
+    paths in `lost` are not sent; the call has been done."""
 
     def __init__(self, address, era):
         super().__init__(address, era)
