Keep later departures over reused ids, restarts and ended nodes

Change: only a departure of the same or a later process covers a kept one. A restored server gives way to a later server or departure in its row until a report confirms it. The keeper writes the own departure as well, and leaving entries take no turn.

The test "peers write a lost departure of a node that has ended once" gave the ended node a keeper as well, which did nothing before. It has none now; the bounds are as before.

--- a/src/include/cassiakeel/mesh/backend_watch.h
+++ b/src/include/cassiakeel/mesh/backend_watch.h
@@ -28,11 +28,14 @@
   /// that the server is leaving.
   void OnReport(const BackendReport& report);
   /// Restores the state that this node published before it restarted, unless
-  /// the server has already sent a report.
+  /// the server has already sent a report. A server that started later replaces
+  /// a restored one, because the first row may be out of an older copy.
   void Restore(const BackendReport& report);
   /// Restores a departure that this node published before it restarted. Applies
   /// to a report that has arrived since, and to those that still arrive late.
-  /// Returns false if it was known.
+  /// Replaces an earlier server that was restored or that has the same id, so
+  /// that its row is not written over the departure. Returns false if it was
+  /// known.
   bool RestoreDeparture(const InstanceId& instance, std::int64_t started_at_ms);
   /// Processes a deregistration: the server has stopped or is about to. Also
   /// applies to a server that this node does not know yet, because reports sent
@@ -49,6 +52,8 @@
   bool HasDeparted(const BackendReport& report) const;
   void RecordDeparture(const InstanceId& instance, std::int64_t started_at_ms);
   void ApplyDeparture();
+  void ReplaceByDeparted(const InstanceId& instance,
+                         std::int64_t started_at_ms);
   void RestartTimer();
 
   const Clock& clock;
@@ -56,6 +61,8 @@
   std::chrono::milliseconds report_timeout{0};
   ChangeHandler on_change;
   LocalBackend backend;
+  /// `backend` comes from `Restore`, and no report has confirmed it.
+  bool is_restored = false;
   /// The last instance that deregistered. The deregistration covers all server
   /// processes with this id that started at or before `departed_start_ms`.
   InstanceId departed_instance;
--- a/src/include/cassiakeel/mesh/departure_keeper.h
+++ b/src/include/cassiakeel/mesh/departure_keeper.h
@@ -15,8 +15,8 @@
 
 namespace cassiakeel::mesh {
 
-/// Writes departures of other nodes' backend servers into the directory again
-/// that a return of the store has lost, in case their nodes have ended. The
+/// Writes departures of backend servers into the directory again that a return
+/// of the store has lost, in case their nodes have ended or restarted. The
 /// nodes that know a departure take turns, so that one write is the rule. Runs
 /// on the control thread.
 class DepartureKeeper : public std::enable_shared_from_this<DepartureKeeper> {
--- a/src/libmesh/backend_watch.cc
+++ b/src/libmesh/backend_watch.cc
@@ -59,6 +59,7 @@
   const bool changed =
       !this->backend.present || IsVisibleChange(next, this->backend.report);
   this->backend = {true, next};
+  this->is_restored = false;
   this->RestartTimer();
   if (changed) {
     this->on_change(this->backend);
@@ -66,8 +67,11 @@
 }
 
 void BackendWatch::Restore(const BackendReport& report) {
-  if (this->backend.report.instance.Value().empty()) {
+  const auto& known = this->backend.report;
+  if (known.instance.Value().empty() ||
+      (this->is_restored && report.started_at_ms > known.started_at_ms)) {
     this->OnReport(report);
+    this->is_restored = true;
   }
 }
 
@@ -78,7 +82,13 @@
     return false;
   }
   this->RecordDeparture(instance, started_at_ms);
-  this->ApplyDeparture();
+  const auto& known = this->backend.report;
+  const bool may_replace = this->is_restored || known.instance == instance;
+  if (may_replace && started_at_ms > known.started_at_ms) {
+    this->ReplaceByDeparted(instance, started_at_ms);
+  } else {
+    this->ApplyDeparture();
+  }
   return true;
 }
 
@@ -87,11 +97,7 @@
   const auto& known = this->backend.report;
   if (started_at_ms > known.started_at_ms) {
     this->RecordDeparture(instance, started_at_ms);
-    this->backend = {};
-    this->backend.report.instance = instance;
-    this->backend.report.started_at_ms = started_at_ms;
-    this->backend.report.leaving = true;
-    this->on_change(this->backend);
+    this->ReplaceByDeparted(instance, started_at_ms);
     return;
   }
   if (started_at_ms <= 0) {
@@ -125,6 +131,16 @@
   this->on_change(this->backend);
 }
 
+void BackendWatch::ReplaceByDeparted(const InstanceId& instance,
+                                     std::int64_t started_at_ms) {
+  this->backend = {};
+  this->is_restored = false;
+  this->backend.report.instance = instance;
+  this->backend.report.started_at_ms = started_at_ms;
+  this->backend.report.leaving = true;
+  this->on_change(this->backend);
+}
+
 bool BackendWatch::HasDeparted(const BackendReport& report) const {
   return !this->departed_instance.Value().empty() &&
          report.instance == this->departed_instance &&
--- a/src/libmesh/control_state_test.cc
+++ b/src/libmesh/control_state_test.cc
@@ -102,6 +102,46 @@
   CHECK(watch->current().report.instance.Value() == "successor");
 }
 
+// Guards against a departure, or a live server, that its restarted node
+// overwrites with an earlier server out of an older copy of the store.
+TEST_CASE("a restored server gives way to a later one in its row") {
+  ControlLoop loop;
+  std::vector<LocalBackend> changes;
+  const auto watch = BackendWatch::Create(
+      loop.timers, loop.clock, milliseconds(5000),
+      [&changes](const LocalBackend& backend) { changes.push_back(backend); });
+  const auto& current = watch->current().report;
+  watch->Restore(MakeReport("a", 100, 0));
+  SECTION("a server") {
+    watch->Restore(MakeReport("b", 200, 0));
+    CHECK(current.instance.Value() == "b");
+    CHECK_FALSE(current.leaving);
+    watch->Restore(MakeReport("a", 100, 0));
+    CHECK(current.instance.Value() == "b");
+  }
+  SECTION("a departure") {
+    const std::string id = GENERATE("a", "b");
+    CHECK(watch->RestoreDeparture(InstanceId(id), 200));
+    CHECK(current.instance.Value() == id);
+    CHECK(current.started_at_ms == 200);
+    CHECK(current.leaving);
+    REQUIRE(changes.size() == 2);
+  }
+  SECTION("a report has confirmed it, because the clock was set back") {
+    watch->OnReport(MakeReport("a", 100, 1));
+    watch->Restore(MakeReport("b", 200, 0));
+    watch->RestoreDeparture(InstanceId("b"), 200);
+    CHECK(current.instance.Value() == "a");
+    CHECK_FALSE(current.leaving);
+  }
+  SECTION("a report has confirmed an earlier process of a departed one") {
+    watch->OnReport(MakeReport("a", 100, 1));
+    watch->RestoreDeparture(InstanceId("a"), 200);
+    CHECK(current.started_at_ms == 200);
+    CHECK(current.leaving);
+  }
+}
+
 // Guards against a server that left and is used again after a restart of its
 // node, because a report from before its departure arrives late.
 TEST_CASE("a restarted node does not take up a server that has departed") {
--- a/src/libmesh/departure_keeper.cc
+++ b/src/libmesh/departure_keeper.cc
@@ -23,7 +23,8 @@
 constexpr int kMaxDoublings = 3;
 
 // Place of `own` among the nodes of the directory that may write for
-// `departed`.
+// `departed`. Rows of nodes that have ended stay in the table; they are leaving
+// and take no turn.
 std::size_t TurnOf(const NodeId& own,
                    const NodeId& departed,
                    const Directory& directory) {
@@ -34,16 +35,18 @@
   return static_cast<std::size_t>(
       std::ranges::count_if(directory, [&](const auto& item) {
         const auto& [node, entry] = item;
-        return node != own && node != departed && weight(node) < own_weight;
+        return node != own && node != departed && !entry.leaving &&
+               weight(node) < own_weight;
       }));
 }
 
 // Whether `row`, which was written since the return, shows the departed process
-// as active. Any other row is the word of its node, which is alive.
+// or an earlier one with its id, and not its departure. Any other row is the
+// word of its node, which is alive.
 bool IsUndone(const DirectoryEntry& departure, const StoredRow& row) {
   const auto current = DecodeDirectoryEntry(row.key, row.value);
-  return !current ||
-         (CoversDeparture(departure, *current) && !current->departed);
+  return !current || (CoversDeparture(departure, *current) &&
+                      !CoversDeparture(*current, departure));
 }
 
 }  // namespace
@@ -70,9 +73,6 @@
                              const Directory& visible) {
   std::set<NodeId> unstored;
   for (const auto& entry : departures) {
-    if (entry.node == this->own_node) {
-      continue;
-    }
     unstored.insert(entry.node);
     auto& item = this->pending[entry.node];
     if (item.entry != entry) {
@@ -81,7 +81,11 @@
     }
     const auto row = rows.find(entry.node.Value());
     item.stored_version = row == rows.end() ? 0 : row->second.version;
-    const auto turn = TurnOf(this->own_node, entry.node, visible);
+    // A restarted node that knows of a departure from its row alone has no row
+    // to publish, so that the registrar does not write it.
+    const auto turn = entry.node == this->own_node
+                          ? 0
+                          : TurnOf(this->own_node, entry.node, visible);
     if (!item.scheduled && !item.done && turn < kMaxTurns) {
       this->Schedule(entry.node,
                      kOwnerFirst + kTurn * static_cast<std::int64_t>(turn));
--- a/src/libmesh/directory_view.cc
+++ b/src/libmesh/directory_view.cc
@@ -42,9 +42,10 @@
     return use_if_older;
   }
   const auto& stored = row->second;
-  // A departure is final for the process, whoever writes the row.
+  // A departure is final for the process, whoever writes the row. That of an
+  // earlier process with the same id does not stand for it.
   if (kept.departed && CoversDeparture(kept, stored)) {
-    return stored.departed ? KeptUse::kNone : KeptUse::kAlways;
+    return CoversDeparture(stored, kept) ? KeptUse::kNone : KeptUse::kAlways;
   }
   return IsFromCopy(view, kept.node) && IsOlder(stored, kept) ? use_if_older
                                                               : KeptUse::kNone;
--- a/src/libmesh/directory_view_test.cc
+++ b/src/libmesh/directory_view_test.cc
@@ -104,6 +104,20 @@
   CHECK(UnstoredDepartures(view).empty());
 }
 
+// Guards against a departure that the next return undoes: the departure of an
+// earlier process with the same id was taken for it.
+TEST_CASE("the departure of an earlier process does not stand for a later") {
+  DirectoryView view;
+  ApplyRows(view, RowsOf({EntryOf("a", "i", 200, true)}, 9), kStart);
+  BeginReturn(view, kStart);
+  ApplyRows(view, RowsOf({EntryOf("a", "i", 100, true)}, 2), kStart);
+  CHECK(Shown(view, kWithinGrace)->started_at_ms == 200);
+  CHECK(UnstoredDepartures(view).size() == 1);
+  BeginReturn(view, kStart);
+  ApplyRows(view, RowsOf({EntryOf("a", "i", 200)}, 5), kStart);
+  CHECK(Shown(view, kRewriteGrace)->departed);
+}
+
 // Guards against requests for a service whose address another one has now.
 TEST_CASE("an earlier server out of the copy is not used") {
   DirectoryView view;
@@ -136,6 +150,9 @@
   }
   int written = 0;
   for (const auto& [node, entry] : directory) {
+    if (node == NodeId("a")) {
+      continue;  // This node has ended.
+    }
     keepers.push_back(DepartureKeeper::Create(
         store, history, loop.timers, "t", node,
         [&written](const DirectoryEntry&) { ++written; }));
@@ -164,6 +181,53 @@
   CHECK(store.writes <= 6);
 }
 
+// Guards against a departure that no peer writes after a conflict with that of
+// an earlier process.
+TEST_CASE("a departure is written over that of an earlier process") {
+  ControlLoop loop;
+  FakeStore store;
+  const auto keeper =
+      DepartureKeeper::Create(store, MakeHistory(), loop.timers, "t",
+                              NodeId("b"), [](const DirectoryEntry&) {});
+  keeper->Update({EntryOf("a", "i", 200, true)}, {}, {});
+  store.Put("a", EncodeDirectoryEntry(EntryOf("a", "i", 100, true)));
+  loop.RunFor(milliseconds(1500), store);
+  CHECK(DecodeDirectoryEntry("a", store.rows["a"].value)->started_at_ms == 200);
+}
+
+// Guards against a departure that nobody writes, because its node has restarted
+// and publishes nothing and no peer is left that knows it.
+TEST_CASE("a node writes its own departure that it does not publish") {
+  ControlLoop loop;
+  FakeStore store;
+  store.Put("a", EncodeDirectoryEntry(EntryOf("a", "i", 100)));
+  const auto keeper =
+      DepartureKeeper::Create(store, MakeHistory(), loop.timers, "t",
+                              NodeId("a"), [](const DirectoryEntry&) {});
+  const auto departure = EntryOf("a", "i", 100, true);
+  keeper->Update({departure}, store.rows, {{NodeId("a"), departure}});
+  loop.RunFor(milliseconds(1000), store);
+  CHECK(DecodeDirectoryEntry("a", store.rows["a"].value)->departed);
+}
+
+// Guards against a departure that nobody writes, because all turns belong to
+// nodes that have ended.
+TEST_CASE("nodes that have left take no turn to write a departure") {
+  ControlLoop loop;
+  FakeStore store;
+  Directory directory;
+  for (int i = 0; i < 200; ++i) {
+    const auto name = "ended" + std::to_string(i);
+    directory[NodeId(name)] = EntryOf(name, "i", 100, true);
+  }
+  const auto keeper =
+      DepartureKeeper::Create(store, MakeHistory(), loop.timers, "t",
+                              NodeId("b"), [](const DirectoryEntry&) {});
+  keeper->Update({EntryOf("a", "i", 100, true)}, {}, directory);
+  loop.RunFor(milliseconds(1000), store);
+  CHECK(store.rows.contains("a"));
+}
+
 TEST_CASE("a peer leaves the row of a later server alone") {
   ControlLoop loop;
   FakeStore store;
