Notice a return after an outage that ends with another reply than a read

Cause: after a failed call the follower asks for changes. If the store came back naming no era, that reply or a lost history marked the connection as restored, and the whole read that followed was taken as in calm, although numbers could have passed the known one.

Change: a follower remembers a failed call until a reply places its copy or a whole read is judged.

Measured: "a return after an outage is noticed if the era is gone as well" fails before in both sections and passes now.

--- a/src/include/cassiakeel/mesh/table_follower.h
+++ b/src/include/cassiakeel/mesh/table_follower.h
@@ -92,8 +92,7 @@
   // Tries again after a time that grows with `attempts`, which is incremented.
   void ScheduleRetry(int& attempts);
   void Retry();
-  // Returns true if the connection was lost before.
-  bool MarkConnected();
+  void MarkConnected();
   void ReportRead(const StoreReply& reply, std::string_view outcome);
   // Holds only a weak reference to this follower: the follower owns the timer
   // queue, so a strong reference would be a cycle.
@@ -121,6 +120,9 @@
   /// A poll was answered since the store last lacked the history for one.
   bool has_polled = true;
   bool connected = true;
+  /// A call failed since the latest reply that placed the local copy. Replies
+  /// without an era other than whole reads leave it set.
+  bool was_away = false;
   /// Failed calls in a row.
   int failures = 0;
   /// Whole reads since the last poll that was answered.
--- a/src/libmesh/store_return_test.cc
+++ b/src/libmesh/store_return_test.cc
@@ -110,6 +110,37 @@
   CHECK(fixture.HasPolicy(8));
 }
 
+// Guards against a copy that is taken for the present, because the reply that
+// ended the outage was no whole read.
+TEST_CASE("a return after an outage is noticed if the era is gone as well") {
+  ControlLoop loop;
+  FakeStore store;
+  std::shared_ptr<TableFollower> follower;
+  const auto history = StoreHistory::Create(
+      [&follower](const StoreHistory::Return&) {
+        follower->OnStoreReturned(milliseconds(0));
+      },
+      [](StoreEra) {});
+  follower = TableFollower::Create(
+      store, history, loop.timers, "t", milliseconds(0), [](const RowMap&) {},
+      [](bool, const std::string&) {});
+  store.Put("a", "1");
+  follower->Start();
+  loop.RunFor(milliseconds(20), store);
+  store.unavailable = true;
+  store.CutPolls();
+  loop.RunFor(milliseconds(30), store);
+  store.era.reset();
+  store.Put("a", "2");
+  SECTION("the poll is answered") {}
+  SECTION("the history is lost") {
+    store.lose_history = true;
+  }
+  store.unavailable = false;
+  loop.RunFor(milliseconds(400), store);
+  CHECK(history->epoch() == 1);
+}
+
 // Guards against a node that waits for a poll that began before the return and
 // that nothing in its table ends.
 TEST_CASE("a poll that outlives a return ends within the time of a change") {
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -129,7 +129,8 @@
     this->OnFailure(reply);
     return;
   }
-  const bool was_away = this->MarkConnected();
+  this->MarkConnected();
+  const bool was_away = std::exchange(this->was_away, false);
   const bool is_older =
       this->has_position && reply.content.version < this->table_version;
   if (is_older && placed) {
@@ -177,6 +178,7 @@
     return;
   }
   this->MarkConnected();
+  this->was_away = this->was_away && !placed;
   if (this->is_placed && !placed) {
     this->Read();
     return;
@@ -210,14 +212,11 @@
   });
 }
 
-bool TableFollower::MarkConnected() {
+void TableFollower::MarkConnected() {
   this->failures = 0;
-  if (this->connected) {
-    return false;
+  if (!std::exchange(this->connected, true)) {
+    this->on_connection(true, {});
   }
-  this->connected = true;
-  this->on_connection(true, {});
-  return true;
 }
 
 void TableFollower::ReportRead(const StoreReply& reply,
@@ -230,6 +229,7 @@
 }
 
 void TableFollower::OnFailure(const StoreReply& reply) {
+  this->was_away = true;
   if (this->connected) {
     this->connected = false;
     this->on_connection(false, reply.message);
