--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -204,6 +204,7 @@
     return;
   }
   this->MarkConnected();
+  this->was_away = this->was_away && !placed;
   if (this->is_placed && !placed) {
     this->Read();
     return;
@@ -213,7 +214,7 @@
     return;
   }
   this->has_polled = true;
-  this->was_away = false;
+  this->was_away = this->was_away && !placed;
   this->rereads = 0;
   const bool changed = !reply.content.rows.empty();
   for (auto& row : reply.content.rows) {
