Tests: versions of approvals are given out again after a return, red

Cause: an approval gets the version of the stored head plus one. If the platform comes back from a copy without the last head, the next approval gets a number that nodes have already put in force. AcceptPolicy refuses it there (version not higher), while nodes that never had the lost one take it; an approver's `replaces` matches another sheet of the same number.

Change: two tests, no fix. A fix has to change the signed form of an approval (order by the signed time, or versions that cannot repeat), and `replaces` has to name the digest that was compared.

--- a/src/libpolicy/workflow_test.cc
+++ b/src/libpolicy/workflow_test.cc
@@ -228,4 +228,49 @@
   CHECK_FALSE(ReadHead(f.table));
 }
 
+// Guards against a confirmed sheet that never comes into force: the platform
+// came back from an older copy, and the approval after that got the number of
+// one that the copy lacks and that nodes have in force.
+TEST_CASE("a sheet approved after a return of the platform comes into force") {
+  Fixture f;
+  f.RequireApproved(f.Proposed(kSheet), 1);
+  const auto copy = f.table.Get(std::string(kHeadKey));
+  REQUIRE(copy);
+  f.RequireApproved(f.Proposed(kOtherSheet), 2);
+  const auto in_force = ReadHead(f.table).value()->version;
+
+  // Comes back from the copy of the head.
+  REQUIRE(f.memory.table()
+              .Transact({{std::string(kHeadKey), copy->value, std::nullopt}})
+              .applied);
+  const auto digest = f.Proposed(kSheet + "\n\n");
+  const auto approved = f.ApproveAs("legal", digest);
+  REQUIRE(approved);
+  REQUIRE(approved->done);
+  const auto sheet = ReadSheet(f.objects, digest);
+  REQUIRE(sheet);
+  CHECK(AcceptPolicy(in_force, *approved->done, *sheet,
+                     {{approved->done->approver, f.key.Public()}}));
+}
+
+// Guards against an approval over a sheet that the approver has not compared
+// with: after a return, another sheet has the number that was compared.
+TEST_CASE("an approval does not replace another sheet of the same number") {
+  Fixture f;
+  f.RequireApproved(f.Proposed(kSheet), 1);
+  const auto copy = f.table.Get(std::string(kHeadKey));
+  REQUIRE(copy);
+  f.RequireApproved(f.Proposed(kOtherSheet), 2);
+  const auto compared_with = ReadHead(f.table).value()->version;
+  const auto digest = f.Proposed(kSheet + "\n\n");
+
+  REQUIRE(f.memory.table()
+              .Transact({{std::string(kHeadKey), copy->value, std::nullopt}})
+              .applied);
+  REQUIRE(f.ApproveAs("rival", f.Proposed(kSheet + "\n\n\n"))->done);
+  const auto approved = f.ApproveAs("legal", digest, compared_with);
+  REQUIRE(approved);
+  CHECK_FALSE(approved->done);
+}
+
 }  // namespace cassiakeel::policy
