--- a/src/libonce/deduplicator_test.cc
+++ b/src/libonce/deduplicator_test.cc
@@ -288,4 +288,34 @@
   }
 }
 
+// Guards against shards that no node serves. A lost renewal looks like an
+// expired lease, and a lost handoff like a shard that this node gave up: in
+// both cases the map names an owner that does not serve the epoch again.
+TEST_CASE("shards are served again after the platform returns from a copy") {
+  TwoNodes nodes;
+  for (int i = 0; i < 10; ++i) {
+    nodes.clock.Advance(std::chrono::seconds(1));
+    nodes.a->Maintain();
+  }
+  REQUIRE(nodes.a->OwnedShards() == kShardCount);
+  const auto copy = nodes.table.rows;
+  SECTION("a renewal was lost") {
+    for (int i = 0; i < 6; ++i) {
+      nodes.clock.Advance(std::chrono::seconds(1));
+      nodes.a->Maintain();
+    }
+  }
+  SECTION("a handoff was lost") {
+    for (int i = 0; i < 200 && nodes.b->OwnedShards() == 0; ++i) {
+      nodes.RunSecond();
+    }
+    REQUIRE(nodes.b->OwnedShards() > 0);
+  }
+  nodes.table.rows = copy;
+  for (int i = 0; i < 300; ++i) {
+    nodes.RunSecond();
+  }
+  CHECK(nodes.a->OwnedShards() + nodes.b->OwnedShards() == kShardCount);
+}
+
 }  // namespace cassiakeel::once
