--- a/src/include/cassiakeel/mesh/shared_store.h
+++ b/src/include/cassiakeel/mesh/shared_store.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "cassiakeel/base/error.h"
@@ -23,7 +24,10 @@
 struct StorePosition {
   StoreEra era;
   std::uint64_t version = 0;
-  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+  friend auto operator<=>(const StorePosition& a, const StorePosition& b) {
+    return std::tie(a.era, a.version) <=> std::tie(b.era, b.version);
+  }
+  friend bool operator==(const StorePosition&, const StorePosition&) = default;
 };
 
 /// One row of a shared table.
--- a/src/libmesh/store_pace.cc
+++ b/src/libmesh/store_pace.cc
@@ -14,9 +14,9 @@
 constexpr milliseconds kRereadInterval{2};
 constexpr milliseconds kMaxRereadSpread{1500};
 // Returns that come one after the other without a longer spread.
-constexpr int kFreeReturns = 2;
+constexpr int kFreeReturns = 4;
 constexpr milliseconds kFirstRepeatedSpread{250};
-constexpr int kMaxDoublings = 4;
+constexpr int kMaxDoublings = 2;
 
 }  // namespace
 
