Soak: let a return lose rows and numbers that nodes know

At half of the returns, 30 numbers and the row of a restarted backend server are now written shortly before, and a new version of the policy directly after.

--- a/testsuite/harness/soak.py
+++ b/testsuite/harness/soak.py
@@ -353,7 +353,8 @@
     async def inject_faults(self):
         end = time.monotonic() + self.seconds
         if not self.injected_violation:
-            self.spawn(self.returns.inject_returns(self.rng_of_returns, self.seconds))
+            self.spawn(self.returns.inject_returns(
+                self.rng_of_returns, self.seconds, self.publish))
         while time.monotonic() < end:
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
             # A fault does not wait for the previous one, so that faults overlap.
--- a/testsuite/harness/soak_returns.py
+++ b/testsuite/harness/soak_returns.py
@@ -67,13 +67,13 @@
             self.copies = self.copies[-50:] + [self.store.copy()]
             await asyncio.sleep(POLL_S)
 
-    async def inject_returns(self, rng, seconds):
+    async def inject_returns(self, rng, seconds, publish):
         end = self.clock() + seconds
         while self.clock() < end:
             await asyncio.sleep(rng.uniform(1, 6))
-            await self.come_back(rng)
+            await self.come_back(rng, publish)
 
-    async def come_back(self, rng):
+    async def come_back(self, rng, publish):
         """Comes back once or twice, from a copy of up to five seconds ago, with numbers
         that pass the known one at once, slowly or not. The operator and the backend
         servers write again what they wrote."""
@@ -82,19 +82,31 @@
             self.store.era_field = lambda: None
         for _ in range(rng.choice((1, 1, 2))):
             copy = self.copies[-min(len(self.copies), rng.randrange(1, 51))]
+            if rng.random() < 0.5:
+                # What the copy lacks: numbers that are given out again, and a row.
+                await self.use_numbers(30)
+                rng.choice(self.nodes).backend.restart()
+                await asyncio.sleep(rng.uniform(0.3, 0.8))
             await self.store.come_back(copy, cut_polls=rng.random() < 0.7)
             self.returned_at = self.clock()
             self.returns += 1
             await self.store.put(self.policy_table, "config", self.policy)
+            if rng.random() < 0.5:
+                await publish()
             await asyncio.sleep(rng.uniform(0.1, 0.8))
         pass_by = rng.choice(("no", "at once", "slowly"))
-        for number in range(0 if pass_by == "no" else 60):
-            await self.store.put("unused", str(number), b"x")
-            await asyncio.sleep(0.05 if pass_by == "slowly" else 0)
+        if pass_by != "no":
+            await self.use_numbers(60, 0.05 if pass_by == "slowly" else 0)
         if not header:
             await asyncio.sleep(rng.uniform(0, 3))
             del self.store.era_field
 
+    async def use_numbers(self, count, pause_s=0):
+        """Writes rows that no node uses."""
+        for number in range(count):
+            await self.store.put("unused", str(number), b"x")
+            await asyncio.sleep(pause_s)
+
     def required_version(self, node, now):
         """The version that has to be in force at `node`, or None."""
         due = now - IN_FORCE_S - MARGIN_S
