Reserve ports for test runs, so that no two take the same one

Cause: a run checked that a port was free and bound it later. Concurrent runs begin at random ports of one range and take contiguous ones, so that two of them can take a port between the check and the bind. The unit tests let the kernel select a port of the range for outgoing connections, where a connection of another test can take it before the listener binds.

Change: runs reserve blocks of 100 ports below that range by binding an abstract socket, which the kernel frees when the process ends. Harness and unit tests use the same blocks.

--- a/cmake/CassiakeelTargets.cmake
+++ b/cmake/CassiakeelTargets.cmake
@@ -29,7 +29,8 @@
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
   set(target ${name}_test)
   add_executable(${target} ${ARG_SOURCES})
-  target_include_directories(${target} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+  target_include_directories(${target} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}
+                                               ${PROJECT_SOURCE_DIR}/src/testing)
   target_compile_options(${target} PRIVATE -Wall -Wextra)
   target_link_libraries(${target} PRIVATE ${ARG_DEPENDS} Catch2::Catch2
                                           trompeloeil::trompeloeil rapidcheck)
--- a/src/libh1/faulty_peer_test.cc
+++ b/src/libh1/faulty_peer_test.cc
@@ -194,7 +194,7 @@
   CHECK(Run(loop, *client, GetFrom(loop, server.address(), "1")).end ==
         FetchEnd::kNoResponse);
   const PeerAddress closed_port("127.0.0.1:" +
-                                std::to_string(TestLoop::FreePort()));
+                                std::to_string(testing::ReservePort()));
   CHECK(Run(loop, *client, GetFrom(loop, closed_port, "1")).end ==
         FetchEnd::kNotSent);
 }
--- a/src/libh1/h1_test_support.h
+++ b/src/libh1/h1_test_support.h
@@ -14,6 +14,7 @@
 
 #include "cassiakeel/h1/client.h"
 #include "cassiakeel/h1/server.h"
+#include "reserved_port.h"
 
 namespace cassiakeel::h1 {
 
@@ -43,7 +44,8 @@
 
   std::unique_ptr<Server> Serve(ExchangeHandler handler,
                                 std::shared_ptr<ServerMemory> memory = {}) {
-    this->address = PeerAddress("127.0.0.1:" + std::to_string(FreePort()));
+    this->address =
+        PeerAddress("127.0.0.1:" + std::to_string(testing::ReservePort()));
     auto server =
         Server::Create(this->io_context, this->timers, this->address,
                        this->limits, std::move(handler), std::move(memory));
@@ -51,12 +53,6 @@
     return std::move(*server);
   }
 
-  static int FreePort() {
-    asio::io_context context;
-    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-  }
-
   asio::io_context io_context;
   SystemClock clock;
   std::shared_ptr<TimerQueue> timers;
--- a/src/libmesh/mesh_test_support.h
+++ b/src/libmesh/mesh_test_support.h
@@ -25,18 +25,12 @@
 #include "cassiakeel/h1/server.h"
 #include "cassiakeel/mesh/node.h"
 #include "cassiakeel/mesh/shared_store.h"
+#include "reserved_port.h"
 
 namespace cassiakeel::mesh {
 
-inline int FreePort() {
-  asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context,
-                                   {asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
-}
-
 inline PeerAddress LocalAddress() {
-  return PeerAddress("127.0.0.1:" + std::to_string(FreePort()));
+  return PeerAddress("127.0.0.1:" + std::to_string(testing::ReservePort()));
 }
 
 inline FieldNames TestFields() {
--- a/testsuite/harness/processes.py
+++ b/testsuite/harness/processes.py
@@ -17,14 +17,37 @@
     """A failure that ends the run; the message gives the reason."""
 
 
+FIRST_PORT = 10000
+PORT_BLOCKS = 220
+PORTS_PER_BLOCK = 100
+# Sockets that keep the blocks of this process reserved until it ends.
+RESERVED_BLOCKS = []
+
+
+def try_reserve(block):
+    """Reserves a block of ports by binding an abstract socket, which fails while
+    another run has it. The unit tests use the same blocks
+    (src/testing/reserved_port.h)."""
+    lock = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+    try:
+        lock.bind(f"\0cassiakeel-test-ports-{block}")
+    except OSError:
+        lock.close()
+        return False
+    RESERVED_BLOCKS.append(lock)
+    return True
+
+
 def port_candidates():
-    """Yields ports below the range for outgoing connections, which could take a
-    port between its selection and its use. The start is random, so that
-    concurrent runs begin at different ports."""
-    first, last = 10000, 32000
-    start = random.Random(os.getpid() ^ time.time_ns()).randrange(first, last)
-    yield from range(start, last)
-    yield from range(first, start)
+    """Yields ports that no concurrent run takes, below the range for outgoing
+    connections, which could take a port between its selection and its use."""
+    start = random.SystemRandom().randrange(PORT_BLOCKS)
+    for offset in range(PORT_BLOCKS):
+        block = (start + offset) % PORT_BLOCKS
+        if try_reserve(block):
+            first = FIRST_PORT + block * PORTS_PER_BLOCK
+            yield from range(first, first + PORTS_PER_BLOCK)
+    raise HarnessError("all blocks of test ports are reserved")
 
 
 PORT_CANDIDATES = port_candidates()
