Read both tables again as a whole where the store names no era

The row of a node that the copy lacked was not written again: 0 of 3 rows within 6.5 s, and for that time its backend server was in no directory that was read anew.

Cause: without an era, connections that outlive the return and numbers that pass the known ones at once show nothing in a poll. The directory was read as a whole only after a poll without changes, of up to 25 s, and a row that was missing in such a read was taken for removed, which emptied the directory until all nodes had written their rows.

Change: without an era, a table is read as a whole after a random time (0.3 s for each node on average, 1 s at least, a poll at most), also while it changes. A missing row shows a return, so that its entry is kept for the grace. The first poll of the policy has a wait of that kind as well. A directory that has not changed is not passed on or logged again.

--- a/src/include/cassiakeel/mesh/table_follower.h
+++ b/src/include/cassiakeel/mesh/table_follower.h
@@ -31,6 +31,14 @@
   std::string_view outcome;
 };
 
+/// Mean waits; nothing for the longest wait of a poll.
+struct MeanPollWaits {
+  /// Of a poll while the store names the known era.
+  std::optional<std::chrono::milliseconds> with_era;
+  /// Between two reads of the whole table while it names none.
+  std::optional<std::chrono::milliseconds> without_era;
+};
+
 /// Maintains a local copy of one table: reads the whole table, then follows its
 /// changes, and reads the table again if the store no longer has the changes or
 /// has come back from an older copy. Runs on the control thread.
@@ -61,10 +69,10 @@
   /// at most `spread`, so that not all nodes do so at once. Called by the
   /// handler of StoreHistory.
   void OnStoreReturned(std::chrono::milliseconds spread);
-  /// Sets the mean wait of a poll from the next one on. The waits are random,
+  /// Sets the mean waits from the next one on. The waits are random,
   /// because all nodes poll again at the same moment after a change.
-  void SetMeanPollWait(std::chrono::milliseconds wait) {
-    this->mean_poll_wait = wait;
+  void SetMeanPollWaits(const MeanPollWaits& waits) {
+    this->mean_poll_waits = waits;
   }
   /// Called when a peer has seen a later era. Asks the store for its era within
   /// `spread`.
@@ -89,6 +97,8 @@
   // Asks for changes without waiting for any, which shows the store's era.
   void Check();
   void Poll(std::chrono::milliseconds wait);
+  std::chrono::milliseconds RandomWait(
+      std::optional<std::chrono::milliseconds> mean);
   // Passes the reply to a call that is sent now to `handler`, unless the call
   // is abandoned meanwhile.
   std::function<void(StoreReply)> MakeHandler(ReplyHandler handler);
@@ -100,7 +110,7 @@
   void Retry();
   void MarkConnected();
   // Whether rows differ from the local copy although their versions are not
-  // later than its own.
+  // later than its own, or are missing.
   bool HasMissedChange(const RowSet& content) const;
   // Called for each read that is older than the local copy.
   bool IsStaleForLong();
@@ -114,8 +124,9 @@
   std::shared_ptr<h1::TimerQueue> timers;
   std::string table;
   std::chrono::milliseconds min_poll_interval{0};
-  /// Nothing for the longest wait.
-  std::optional<std::chrono::milliseconds> mean_poll_wait;
+  MeanPollWaits mean_poll_waits;
+  /// When the table is read again if the store names no era.
+  SteadyTime verify_at;
   ChangeHandler on_change;
   ConnectionHandler on_connection;
   ReadHandler on_read;
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -26,10 +26,6 @@
 constexpr int kMaxMissedReports = 3;
 constexpr milliseconds kReportMargin{700};
 
-std::int64_t SignedEra(StoreEra era) {
-  return static_cast<std::int64_t>(era.Value());
-}
-
 }  // namespace
 
 class MeshControl::Impl {
@@ -56,10 +52,7 @@
         [this](const StoreHistory::Return& noticed) {
           this->OnStoreReturned(noticed);
         },
-        [this](StoreEra known) {
-          this->log.Write("store_era_missing",
-                          pvt::JsonNumber("known_era", SignedEra(known)));
-        });
+        [this](StoreEra known) { pvt::LogEraMissing(this->log, known); });
     this->registrar = Registrar::Create(store, this->history, timers,
                                         settings.directory_table, mesh.node);
     this->registrar->OnStored([this](std::uint64_t version) {
@@ -101,6 +94,7 @@
         [this](const RowMap& rows) { this->OnDirectoryRows(rows); },
         this->ConnectionLogger(settings.directory_table),
         this->ReadLogger(settings.directory_table));
+    this->SetPollWaits(0);
     node.SetPeerHandlers(this->MakePeerHandlers());
   }
 
@@ -212,15 +206,12 @@
     this->store_status.returns = this->history->epoch();
     this->store_status.rebuild_time.reset();
     const auto now = this->timers->Now();
-    const bool is_repeated =
-        this->last_return && now - *this->last_return < pvt::kQuietTime;
-    this->recent_returns = is_repeated ? this->recent_returns + 1 : 0;
-    this->last_return = now;
     this->recovery_started = now;
     BeginReturn(this->view, now);
     this->grace_timer.Cancel();
     this->keeper->OnStoreReturned();
     this->registrar->OnStoreReturned();
+    pvt::CountReturn(this->recent_returns, now);
     const auto spread =
         pvt::RereadSpread(this->directory_size, this->recent_returns);
     this->policy_rows->OnStoreReturned(spread);
@@ -360,13 +351,16 @@
     const auto now = this->timers->Now();
     auto directory =
         std::make_shared<const Directory>(VisibleDirectory(this->view, now));
-    this->directory_size = directory->size();
-    this->policy_rows->SetMeanPollWait(
-        pvt::MeanPolicyPollWait(this->directory_size));
-    pvt::LogDirectory(this->log, directory->size(), this->directory_position,
-                      source);
+    this->SetPollWaits(directory->size());
     this->RestoreBackend(*directory);
-    this->node.SetDirectory(std::move(directory), this->directory_position);
+    if (!this->directory_in_use || *directory != *this->directory_in_use ||
+        this->directory_position != this->position_in_use) {
+      pvt::LogDirectory(this->log, directory->size(), this->directory_position,
+                        source);
+      this->directory_in_use = directory;
+      this->position_in_use = this->directory_position;
+      this->node.SetDirectory(std::move(directory), this->directory_position);
+    }
     if (const auto next = NextChange(this->view, now)) {
       this->grace_timer.Set(*next, [this] { this->UseDirectory("grace_end"); });
     } else {
@@ -374,6 +368,15 @@
     }
   }
 
+  // The polls of the policy show a return that connections outlive, but without
+  // an era they do not show which rows the directory has lost.
+  void SetPollWaits(std::size_t nodes) {
+    this->directory_size = nodes;
+    const auto mean = pvt::MeanPollWait(nodes);
+    this->policy_rows->SetMeanPollWaits({mean, mean});
+    this->directory_rows->SetMeanPollWaits({std::nullopt, mean});
+  }
+
   // Restores the backend server from this node's directory row, so that a
   // restarted node serves it before the next report, and does not take it up
   // again if it has departed. A row of a server that is gone is harmless,
@@ -435,12 +438,14 @@
   RowMap policy_in_force;
   StorePosition directory_position;
   std::size_t directory_size = 0;
+  /// What the node has got.
+  std::shared_ptr<const Directory> directory_in_use;
+  StorePosition position_in_use;
   /// Newest versions that peers, or this node's own writes, have shown.
   StateVersions newest;
   DirectoryView view;
   StoreStatus store_status;
-  std::optional<SteadyTime> last_return;
-  int recent_returns = 0;
+  pvt::RecentReturns recent_returns;
   /// When the return was noticed from which this node is recovering.
   std::optional<SteadyTime> recovery_started;
   /// Ends the grace of entries that the store lacks.
--- a/src/libmesh/control_log.cc
+++ b/src/libmesh/control_log.cc
@@ -43,6 +43,11 @@
                                   Field("returns", returns));
 }
 
+void LogEraMissing(DecisionLog& log, StoreEra known) {
+  log.Write("store_era_missing",
+            JsonNumber("known_era", static_cast<std::int64_t>(known.Value())));
+}
+
 void LogPolicy(DecisionLog& log, const TrafficPolicy& policy) {
   log.Write("policy", JsonNumber("version", static_cast<std::int64_t>(
                                                 policy.version().Value())) +
--- a/src/libmesh/control_log.h
+++ b/src/libmesh/control_log.h
@@ -24,6 +24,7 @@
 void LogStoreReturned(DecisionLog& log,
                       const StoreHistory::Return& noticed,
                       std::uint64_t returns);
+void LogEraMissing(DecisionLog& log, StoreEra known);
 void LogPolicy(DecisionLog& log, const TrafficPolicy& policy);
 /// `source`: where the entries come from, such as "store" or "peer".
 void LogDirectory(DecisionLog& log,
--- a/src/libmesh/store_return_follower_test.cc
+++ b/src/libmesh/store_return_follower_test.cc
@@ -118,12 +118,43 @@
   CHECK(tables.second_store.reads == (version < 6 ? reads + 1 : reads));
 }
 
+// Guards against rows that stay lost, and against servers that get no calls
+// until their rows are back: a read without them was taken for the present.
+TEST_CASE("a row that is missing without a change shows a return") {
+  TwoTables tables;
+  auto& store = tables.second_store;
+  const auto copy = store.Copy();
+  store.Put("c", "1");
+  tables.Run();
+  store.ComeBackFrom(copy);
+  store.era.reset();
+  store.version += 30;
+  store.EndPolls();
+  tables.Run();
+  CHECK(tables.history->epoch() == 1);
+}
+
+// Guards against a return that is not noticed while the table changes: only a
+// poll without changes was followed by a read.
+TEST_CASE("without an era, changes do not put off the read of a table") {
+  TwoTables tables;
+  tables.first->SetMeanPollWaits({std::nullopt, milliseconds(50)});
+  tables.first_store.EndPolls();
+  tables.Run();
+  const int reads = tables.first_store.reads;
+  for (int i = 0; i < 20; ++i) {
+    tables.first_store.Put("a", std::to_string(i));
+    tables.Run();
+  }
+  CHECK(tables.first_store.reads > reads + 2);
+}
+
 // Guards against nodes that all end their polls at the same moment, so that
 // none of them notices a return in between.
 TEST_CASE("polls of the policy wait for random times") {
   FollowerFixture table;
   auto& [loop, store, seen, follower] = table;
-  follower->SetMeanPollWait(milliseconds(1000));
+  follower->SetMeanPollWaits({milliseconds(1000), std::nullopt});
   std::set<milliseconds> waits;
   for (int i = 0; i < 20; ++i) {
     store.EndPolls();
--- a/src/libmesh/store_return_test.cc
+++ b/src/libmesh/store_return_test.cc
@@ -242,8 +242,8 @@
     fixture.Run(milliseconds(10));
   }
   CHECK(fixture.store().reads < reads + 30);
-  CHECK(pvt::RereadSpread(1000, 1) == milliseconds(1500));
-  CHECK(pvt::RereadSpread(1000, 9) == milliseconds(2500));
+  CHECK(pvt::RereadSpread(1000, {std::nullopt, 1}) == milliseconds(1500));
+  CHECK(pvt::RereadSpread(1000, {std::nullopt, 9}) == milliseconds(2500));
 }
 
 // Guards against a node that reads for ever because the era does not rise.
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -80,12 +80,19 @@
 }
 
 void TableFollower::Follow() {
-  auto wait = kMaxPollWait;
-  if (this->mean_poll_wait) {
-    wait = std::clamp(FullJitter(2 * *this->mean_poll_wait, this->rng),
-                      kMinPollWait, kMaxPollWait);
+  if (!this->is_placed) {
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        this->verify_at - this->timers->Now());
+    this->Poll(std::max(left, kMinPollWait));
+    return;
   }
-  this->Poll(wait);
+  this->Poll(this->RandomWait(this->mean_poll_waits.with_era));
+}
+
+milliseconds TableFollower::RandomWait(std::optional<milliseconds> mean) {
+  return mean ? std::clamp(FullJitter(2 * *mean, this->rng), kMinPollWait,
+                           kMaxPollWait)
+              : kMaxPollWait;
 }
 
 void TableFollower::Check() {
@@ -191,6 +198,8 @@
   this->was_away = false;
   this->stale_since.reset();
   this->on_change(this->local_rows);
+  this->verify_at =
+      this->timers->Now() + this->RandomWait(this->mean_poll_waits.without_era);
   this->Follow();
 }
 
@@ -242,7 +251,9 @@
   this->on_change(this->local_rows);
   this->RunAfter(this->min_poll_interval, [this, current = this->generation] {
     if (current == this->generation) {
-      this->Follow();
+      const bool is_due =
+          !this->is_placed && this->timers->Now() >= this->verify_at;
+      is_due ? this->Read() : this->Follow();
     }
   });
 }
@@ -256,13 +267,19 @@
 }
 
 bool TableFollower::HasMissedChange(const RowSet& content) const {
-  return std::ranges::any_of(content.rows, [this](const StoredRow& row) {
+  std::size_t found = 0;
+  for (const auto& row : content.rows) {
     const auto known = this->local_rows.find(row.key);
-    return row.version <= this->table_version &&
-           (known == this->local_rows.end() ||
-            known->second.version != row.version ||
-            known->second.value != row.value);
-  });
+    const bool is_known = known != this->local_rows.end();
+    found += is_known ? 1 : 0;
+    if (row.version <= this->table_version &&
+        (!is_known || known->second.version != row.version ||
+         known->second.value != row.value)) {
+      return true;
+    }
+  }
+  // Nodes do not remove rows.
+  return found < this->local_rows.size();
 }
 
 bool TableFollower::IsStaleForLong() {
--- a/testsuite/harness/store_return_faults.py
+++ b/testsuite/harness/store_return_faults.py
@@ -187,7 +187,26 @@
                          trial.check_rows())
 
 
+# The users' record of rows that were lost ends here.
+REWRITTEN_WITHOUT_ERA_S = 6.0
+
+
+async def unmarked(trial):
+    """No header, connection or version tells of the return: polls go on hanging, and
+    the numbers pass the known ones at once."""
+    copy = await prepare(trial)
+    await trial.come_back(copy, cut_polls=False)
+    await trial.use_numbers(80)
+    await trial.rewrite_policy()
+    confirmed = await trial.publish()
+    await asyncio.gather(
+        trial.check_in_force(confirmed),
+        trial.wait_for_rows(trial.nodes, REWRITTEN_WITHOUT_ERA_S,
+                            lambda node, row: row["instance"] == node.backend.instance))
+
+
 FORMS = (
+    ("no-header-unmarked", None, unmarked),
     ("header-absent-at-times", 1, lambda trial: odd_header(trial, absent_at_times())),
     ("header-no-number", 1, lambda trial: odd_header(trial, lambda era: f"x{era}")),
     ("header-falls", 9, lambda trial: odd_header(trial, lambda era: 20 - era)),
