Read the directory as a whole only after writes where the store names no era

Change: instead of polls of the directory at the pace of those of the policy, each whole read of the policy makes the node read the directory too if the store has written to any table since the last such read. Nothing is read in calm.

--- a/src/include/cassiakeel/mesh/table_follower.h
+++ b/src/include/cassiakeel/mesh/table_follower.h
@@ -31,14 +31,6 @@
   std::string_view outcome;
 };
 
-/// Mean waits; nothing for the longest wait of a poll.
-struct MeanPollWaits {
-  /// Of a poll while the store names the known era.
-  std::optional<std::chrono::milliseconds> with_era;
-  /// Between two reads of the whole table while it names none.
-  std::optional<std::chrono::milliseconds> without_era;
-};
-
 /// Maintains a local copy of one table: reads the whole table, then follows its
 /// changes, and reads the table again if the store no longer has the changes or
 /// has come back from an older copy. Runs on the control thread.
@@ -69,11 +61,15 @@
   /// at most `spread`, so that not all nodes do so at once. Called by the
   /// handler of StoreHistory.
   void OnStoreReturned(std::chrono::milliseconds spread);
-  /// Sets the mean waits from the next one on. The waits are random,
+  /// Sets the mean wait of a poll from the next one on. The waits are random,
   /// because all nodes poll again at the same moment after a change.
-  void SetMeanPollWaits(const MeanPollWaits& waits) {
-    this->mean_poll_waits = waits;
+  void SetMeanPollWait(std::chrono::milliseconds wait) {
+    this->mean_poll_wait = wait;
   }
+  /// Reads the whole table if the store names no era and has written to any
+  /// table since the last such read. A poll would not show a return after which
+  /// the numbers have passed the known one.
+  void Verify();
   /// Called when a peer has seen a later era. Asks the store for its era within
   /// `spread`.
   void CheckWithin(std::chrono::milliseconds spread);
@@ -97,8 +93,6 @@
   // Asks for changes without waiting for any, which shows the store's era.
   void Check();
   void Poll(std::chrono::milliseconds wait);
-  std::chrono::milliseconds RandomWait(
-      std::optional<std::chrono::milliseconds> mean);
   // Passes the reply to a call that is sent now to `handler`, unless the call
   // is abandoned meanwhile.
   std::function<void(StoreReply)> MakeHandler(ReplyHandler handler);
@@ -124,15 +118,16 @@
   std::shared_ptr<h1::TimerQueue> timers;
   std::string table;
   std::chrono::milliseconds min_poll_interval{0};
-  MeanPollWaits mean_poll_waits;
-  /// When the table is read again if the store names no era.
-  SteadyTime verify_at;
+  /// Nothing for the longest wait.
+  std::optional<std::chrono::milliseconds> mean_poll_wait;
   ChangeHandler on_change;
   ConnectionHandler on_connection;
   ReadHandler on_read;
   RowMap local_rows;
   /// Meaningless unless `has_position`.
   std::uint64_t table_version = 0;
+  /// Version of the last read of the whole table.
+  std::uint64_t read_version = 0;
   /// Newest version of any table that was known when the last call was sent.
   std::uint64_t version_at_call = 0;
   bool is_loaded = false;
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -87,14 +87,19 @@
           this->UpdateStoreStatus();
         },
         this->ConnectionLogger(settings.policy_table),
-        this->ReadLogger(settings.policy_table));
+        [this](const TableReadReport& report) {
+          pvt::LogTableRead(this->log, this->settings.policy_table, report);
+          this->directory_rows->Verify();
+        });
     this->directory_rows = TableFollower::Create(
         store, this->history, timers, settings.directory_table,
         kDirectoryPollInterval,
         [this](const RowMap& rows) { this->OnDirectoryRows(rows); },
         this->ConnectionLogger(settings.directory_table),
-        this->ReadLogger(settings.directory_table));
-    this->SetPollWaits(0);
+        [this](const TableReadReport& report) {
+          pvt::LogTableRead(this->log, this->settings.directory_table, report);
+        });
+    this->SetPollWait(0);
     node.SetPeerHandlers(this->MakePeerHandlers());
   }
 
@@ -265,12 +270,6 @@
     };
   }
 
-  TableFollower::ReadHandler ReadLogger(const std::string& table) {
-    return [this, table](const TableReadReport& report) {
-      pvt::LogTableRead(this->log, table, report);
-    };
-  }
-
   // Confirms a report at once if it changed nothing. Otherwise OnBackend has
   // passed the callback to the node.
   void ConfirmUnchanged() {
@@ -351,7 +350,7 @@
     const auto now = this->timers->Now();
     auto directory =
         std::make_shared<const Directory>(VisibleDirectory(this->view, now));
-    this->SetPollWaits(directory->size());
+    this->SetPollWait(directory->size());
     this->RestoreBackend(*directory);
     if (!this->directory_in_use || *directory != *this->directory_in_use ||
         this->directory_position != this->position_in_use) {
@@ -368,13 +367,9 @@
     }
   }
 
-  // The polls of the policy show a return that connections outlive, but without
-  // an era they do not show which rows the directory has lost.
-  void SetPollWaits(std::size_t nodes) {
+  void SetPollWait(std::size_t nodes) {
     this->directory_size = nodes;
-    const auto mean = pvt::MeanPollWait(nodes);
-    this->policy_rows->SetMeanPollWaits({mean, mean});
-    this->directory_rows->SetMeanPollWaits({std::nullopt, mean});
+    this->policy_rows->SetMeanPollWait(pvt::MeanPolicyPollWait(nodes));
   }
 
   // Restores the backend server from this node's directory row, so that a
--- a/src/libmesh/store_pace.cc
+++ b/src/libmesh/store_pace.cc
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-milliseconds MeanPollWait(std::size_t nodes) {
+milliseconds MeanPolicyPollWait(std::size_t nodes) {
   return std::max(kMinMeanPollWait,
                   kFleetPollInterval * static_cast<std::int64_t>(nodes));
 }
--- a/src/libmesh/store_pace.h
+++ b/src/libmesh/store_pace.h
@@ -11,10 +11,10 @@
 // How often the nodes of a fleet call the shared store. `nodes` is the number
 // of entries in the directory.
 
-/// Mean wait of a poll of one table. All nodes together poll three times a
+/// Mean wait of a poll of the policy. All nodes together poll three times a
 /// second, whatever their number, so that one of them soon notices a return of
 /// the store that their connections have outlived.
-std::chrono::milliseconds MeanPollWait(std::size_t nodes);
+std::chrono::milliseconds MeanPolicyPollWait(std::size_t nodes);
 
 /// Returns of the store in a row.
 struct RecentReturns {
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -80,19 +80,20 @@
 }
 
 void TableFollower::Follow() {
-  if (!this->is_placed) {
-    const auto left = std::chrono::duration_cast<milliseconds>(
-        this->verify_at - this->timers->Now());
-    this->Poll(std::max(left, kMinPollWait));
-    return;
+  auto wait = kMaxPollWait;
+  if (this->mean_poll_wait) {
+    wait = std::clamp(FullJitter(2 * *this->mean_poll_wait, this->rng),
+                      kMinPollWait, kMaxPollWait);
   }
-  this->Poll(this->RandomWait(this->mean_poll_waits.with_era));
+  this->Poll(wait);
 }
 
-milliseconds TableFollower::RandomWait(std::optional<milliseconds> mean) {
-  return mean ? std::clamp(FullJitter(2 * *mean, this->rng), kMinPollWait,
-                           kMaxPollWait)
-              : kMaxPollWait;
+void TableFollower::Verify() {
+  if (this->has_position && !this->is_placed && this->connected &&
+      this->read_version < this->history->newest_version()) {
+    ++this->generation;
+    this->Read();
+  }
 }
 
 void TableFollower::Check() {
@@ -191,6 +192,7 @@
     this->local_rows[row.key] = std::move(row);
   }
   this->table_version = reply.content.version;
+  this->read_version = reply.content.version;
   this->is_loaded = true;
   this->has_position = true;
   this->is_placed = placed;
@@ -198,8 +200,6 @@
   this->was_away = false;
   this->stale_since.reset();
   this->on_change(this->local_rows);
-  this->verify_at =
-      this->timers->Now() + this->RandomWait(this->mean_poll_waits.without_era);
   this->Follow();
 }
 
@@ -251,9 +251,7 @@
   this->on_change(this->local_rows);
   this->RunAfter(this->min_poll_interval, [this, current = this->generation] {
     if (current == this->generation) {
-      const bool is_due =
-          !this->is_placed && this->timers->Now() >= this->verify_at;
-      is_due ? this->Read() : this->Follow();
+      this->Follow();
     }
   });
 }
