--- a/testsuite/harness/store_return_faults.py
+++ b/testsuite/harness/store_return_faults.py
@@ -187,7 +187,7 @@
                          trial.check_rows())
 
 
-# The users' record of rows that were lost ends here.
+# Without an era the users' pages give no bound; their trials waited for this long.
 REWRITTEN_WITHOUT_ERA_S = 6.0
 
 
