Name differing rows as a cause of a return

An operator read "a change before the known version is new", also for a row that was missing, and OPERATIONS did not list it. A second evaluation of was_away goes.

--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -187,7 +187,7 @@
   }
   if (lacks_era && this->HasMissedChange(reply.content)) {
     this->ReportRead(reply, "returned");
-    this->history->RecordReturn("a change before the known version is new");
+    this->history->RecordReturn("rows differ without a later version");
     return;
   }
   this->ReportRead(reply, "taken");
@@ -235,7 +235,6 @@
     return;
   }
   this->has_polled = true;
-  this->was_away = this->was_away && !placed;
   this->rereads = 0;
   const bool changed = !reply.content.rows.empty();
   for (auto& row : reply.content.rows) {
