Take the stored policy after a peer has shown a lost one of its number

A confirmed policy was not in force at a node that had started after a return: a peer had given it the lost policy of that number, and the stored one counted as the same until the next number. Found by review.

Cause: the epoch of the policy in force was set also where a peer had shown it, as if it had been read from the store in that epoch.

Change: only a read of the store sets the epoch.

--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -311,7 +311,10 @@
     }
     pvt::LogPolicy(this->log, **policy);
     this->policy_version = version;
-    this->policy_epoch = this->history->epoch();
+    this->policy_epoch.reset();
+    if (from_store) {
+      this->policy_epoch = this->history->epoch();
+    }
     this->policy_in_force = {*found};
     this->policy_in_force.begin()->second.value = value;
     this->node.SetPolicy(*policy);
@@ -426,8 +429,9 @@
   std::shared_ptr<TableFollower> policy_rows;
   std::shared_ptr<TableFollower> directory_rows;
   PolicyVersion policy_version;
-  /// Epoch of the store in which the policy in force was read last.
-  std::uint64_t policy_epoch = 0;
+  /// Epoch of the store in which the policy in force was read last; nothing if
+  /// only a peer has shown it.
+  std::optional<std::uint64_t> policy_epoch;
   /// The row of the policy in force. The store may contain a later one that was
   /// refused.
   RowMap policy_in_force;
--- a/src/libmesh/store_return_test.cc
+++ b/src/libmesh/store_return_test.cc
@@ -148,6 +148,57 @@
   CHECK(fixture.HasPolicy(8));
 }
 
+// Guards against a confirmed policy that is not in force at a node which has
+// got the lost one of its number from a peer.
+TEST_CASE("a policy of a peer gives way to the stored one of its number") {
+  FakeBackend backend([](const std::shared_ptr<h1::Exchange>& exchange) {
+    exchange->Respond(FakeBackend::Success(exchange->request()));
+  });
+  ControlLoop loop;
+  TestMesh mesh;
+  ControlledNode peer(mesh, loop, "p");
+  ControlledNode node(mesh, loop, "n");
+  mesh.SetBackend("n", backend);
+  for (auto* store : {&peer.store, &node.store}) {
+    store->Put("n", EncodeDirectoryEntry(mesh.directory[NodeId("n")]));
+    store->Put("config", "7");
+  }
+  const auto copy = peer.store.Copy();
+  peer.store.Put("config", "8");
+  const auto run = [&](int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      loop.RunFor(milliseconds(10), peer.store);
+      loop.RunFor(milliseconds(10), node.store);
+    }
+  };
+  peer.control->Start();
+  run(3);
+  peer.store.ComeBackFrom(copy);
+  peer.store.CutPolls();
+  node.store.era = peer.store.era;
+  run(10);
+  node.control->Start();
+  run(3);
+  const auto has_lost_policy = [&] {
+    std::promise<std::string> text;
+    node.node.CollectMetrics(
+        [&text](std::string value) { text.set_value(std::move(value)); });
+    return text.get_future().get().find("cassiakeel_policy_version 8") !=
+           std::string::npos;
+  };
+  for (int i = 0; i < 150 && !has_lost_policy(); ++i) {
+    mesh.Call("p", "/back/1", "x" + std::to_string(i));
+    run(2);
+  }
+  REQUIRE(has_lost_policy());
+  for (auto* store : {&peer.store, &node.store}) {
+    store->Put("config", "8 other");
+  }
+  run(10);
+  CHECK(mesh.Call("p", "/back/1", "y").response.status == 404);
+  CHECK(mesh.Call("n", "/back/1", "z").response.status == 404);
+}
+
 // Guards against an operator who cannot see whether nodes have recovered.
 TEST_CASE("metrics show the era, the returns and the recovery from them") {
   ReturnFixture fixture(StoreEra(4));
