Compare reads without an era with the rows that the node has written

Cause: if no read had shown the write before the return, the copy's older row looked like one that was known. The registrar ignores rows that are older than its write, as late reads, and the follower knew nothing of the write but its number.

Change: StoreHistory keeps the versions of the rows that the node has written in an epoch, by table. A read without an era, sent after the acknowledgement, that lacks one shows a return. A row written by the DepartureKeeper counts as well.

--- a/src/include/cassiakeel/mesh/store_history.h
+++ b/src/include/cassiakeel/mesh/store_history.h
@@ -3,8 +3,10 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "cassiakeel/mesh/shared_store.h"
@@ -22,6 +24,18 @@
   bool has_used_unplaced = false;
   /// Newest version of any table that was seen in this epoch.
   std::uint64_t newest_version = 0;
+  /// Versions of the rows that this node has written in this epoch and the
+  /// store has acknowledged, by table and key.
+  std::map<std::string, std::map<std::string, std::uint64_t>> written;
+};
+
+/// A write that waits for its reply.
+struct SentWrite {
+  std::string table;
+  std::string key;
+  bool removes_row = false;
+  /// Epoch in which it was sent.
+  std::uint64_t epoch = 0;
 };
 
 /// What an operator sees of the store's history, as metrics.
@@ -77,9 +91,9 @@
   /// Records the era of a reply and places the reply. On a return the handler
   /// has run before this function ends.
   ReplyPlace Observe(std::optional<StoreEra> era, std::uint64_t call_epoch);
-  /// Does the same for a write and records its version. Returns false if the
-  /// call was sent in an earlier epoch, so that its reply counts for nothing.
-  bool ObserveWrite(const WriteReply& reply, std::uint64_t call_epoch);
+  /// Does the same for a write and records its version. Returns false if it was
+  /// sent in an earlier epoch, so that its reply counts for nothing.
+  bool ObserveWrite(const SentWrite& write, const WriteReply& reply);
   /// Records a version that a reply to a call of this epoch has shown.
   void RecordVersion(std::uint64_t version);
   /// Begins a new epoch because of a return that shows otherwise than by the
@@ -90,6 +104,11 @@
   /// Replies to calls sent from now on show at least this version, unless the
   /// store comes back from a copy or a whole read is stale.
   std::uint64_t newest_version() const { return this->state.newest_version; }
+  /// Whether `content`, read from `table` by a call that was sent when
+  /// `version_at_call` was the newest version, lacks a row written before.
+  bool LacksWrittenRow(const std::string& table,
+                       const RowSet& content,
+                       std::uint64_t version_at_call) const;
 
  private:
   StoreHistory() = default;
--- a/src/libmesh/departure_keeper.cc
+++ b/src/libmesh/departure_keeper.cc
@@ -119,8 +119,9 @@
       this->table, node.Value(), EncodeDirectoryEntry(item.entry),
       item.stored_version,
       [self = this->shared_from_this(), node,
-       call_epoch = this->history->epoch()](const WriteReply& reply) {
-        if (self->history->ObserveWrite(reply, call_epoch) &&
+       write = SentWrite{this->table, node.Value(), false,
+                         this->history->epoch()}](const WriteReply& reply) {
+        if (self->history->ObserveWrite(write, reply) &&
             self->pending.contains(node)) {
           self->OnWritten(node, reply);
         }
--- a/src/libmesh/registrar.cc
+++ b/src/libmesh/registrar.cc
@@ -213,10 +213,11 @@
   this->store->Write(
       this->table, this->node.Value(), this->desired, this->stored_version,
       [self = this->shared_from_this(), value = this->desired,
-       call_epoch = this->history->epoch()](const WriteReply& reply) {
+       write = SentWrite{this->table, this->node.Value(), !this->desired,
+                         this->history->epoch()}](const WriteReply& reply) {
         // A write of an earlier epoch was conditional on a version that is
         // void, and its reply does not tell what the store contains now.
-        if (!self->history->ObserveWrite(reply, call_epoch)) {
+        if (!self->history->ObserveWrite(write, reply)) {
           return;
         }
         self->writing = false;
--- a/src/libmesh/store_history.cc
+++ b/src/libmesh/store_history.cc
@@ -61,21 +61,40 @@
   return place;
 }
 
-bool StoreHistory::ObserveWrite(const WriteReply& reply,
-                                std::uint64_t call_epoch) {
+bool StoreHistory::ObserveWrite(const SentWrite& write,
+                                const WriteReply& reply) {
   // A failed call without a reply of the store says nothing about its era.
   if (reply.fault == StoreFault::kNone || reply.era) {
-    this->Observe(reply.era, call_epoch);
+    this->Observe(reply.era, write.epoch);
   }
-  if (call_epoch != this->state.epoch) {
+  if (write.epoch != this->state.epoch) {
     return false;
   }
   if (reply.fault == StoreFault::kNone && reply.applied) {
     this->RecordVersion(reply.version);
+    auto& rows = this->state.written[write.table];
+    rows.erase(write.key);
+    if (!write.removes_row) {
+      rows[write.key] = reply.version;
+    }
   }
   return true;
 }
 
+bool StoreHistory::LacksWrittenRow(const std::string& table,
+                                   const RowSet& content,
+                                   std::uint64_t version_at_call) const {
+  const auto written = this->state.written.find(table);
+  return written != this->state.written.end() &&
+         std::ranges::any_of(written->second, [&](const auto& item) {
+           const auto& [key, version] = item;
+           const auto row =
+               std::ranges::find(content.rows, key, &StoredRow::key);
+           return version <= version_at_call &&
+                  (row == content.rows.end() || row->version < version);
+         });
+}
+
 void StoreHistory::RecordVersion(std::uint64_t version) {
   this->state.newest_version = std::max(this->state.newest_version, version);
 }
--- a/src/libmesh/store_history_test.cc
+++ b/src/libmesh/store_history_test.cc
@@ -44,21 +44,49 @@
       StoreHistory::Create([](const StoreHistory::Return&) {}, [](StoreEra) {});
   WriteReply reply;
   reply.version = 9;
-  CHECK(history->ObserveWrite(reply, 0));
+  CHECK(history->ObserveWrite({"t", "a", false, 0}, reply));
   CHECK(history->newest_version() == 0);
   reply.applied = true;
-  CHECK(history->ObserveWrite(reply, 0));
+  CHECK(history->ObserveWrite({"t", "a", false, 0}, reply));
   CHECK(history->newest_version() == 9);
   history->RecordReturn("test");
   CHECK(history->newest_version() == 0);
-  CHECK_FALSE(history->ObserveWrite(reply, 0));
+  CHECK_FALSE(history->ObserveWrite({"t", "a", false, 0}, reply));
   CHECK(history->newest_version() == 0);
   reply.era = StoreEra(3);
   reply.version = 4;
-  CHECK(history->ObserveWrite(reply, 1));
+  CHECK(history->ObserveWrite({"t", "a", false, 1}, reply));
   CHECK(history->newest_version() == 4);
 }
 
+// Guards against an own row that stays lost because a read without it is taken
+// for one from before the write.
+TEST_CASE("a read after an own write shows the written row") {
+  const auto history =
+      StoreHistory::Create([](const StoreHistory::Return&) {}, [](StoreEra) {});
+  WriteReply reply;
+  reply.applied = true;
+  reply.version = 9;
+  history->ObserveWrite({"t", "a", false, 0}, reply);
+  const auto lacks = [&history](std::uint64_t version, const char* table = "t",
+                                std::uint64_t version_at_call = 9) {
+    return history->LacksWrittenRow(table, {{{"a", "1", version, false}}, 20},
+                                    version_at_call);
+  };
+  CHECK(lacks(8));
+  CHECK_FALSE(lacks(9));
+  CHECK_FALSE(lacks(8, "other"));
+  CHECK_FALSE(lacks(8, "t", 8));
+  CHECK(history->LacksWrittenRow("t", {{}, 20}, 9));
+  reply.version = 10;
+  history->ObserveWrite({"t", "a", true, 0}, reply);
+  CHECK_FALSE(history->LacksWrittenRow("t", {{}, 20}, 10));
+  reply.version = 11;
+  history->ObserveWrite({"t", "a", false, 0}, reply);
+  history->RecordReturn("test");
+  CHECK_FALSE(history->LacksWrittenRow("t", {{}, 20}, 11));
+}
+
 // Guards against a peer's older numbers that hide the newer state behind them.
 TEST_CASE("positions of peers are ordered by the era before the version") {
   pvt::PeerVersions versions;
--- a/src/libmesh/store_return_follower_test.cc
+++ b/src/libmesh/store_return_follower_test.cc
@@ -32,9 +32,9 @@
   std::vector<Call> calls;
 };
 
-// Two tables of a store that names no era, each with its follower.
+// Two tables of a store, each with its follower.
 struct TwoTables {
-  TwoTables()
+  explicit TwoTables(std::optional<StoreEra> era = std::nullopt)
       : history(StoreHistory::Create(
             [this](const StoreHistory::Return&) {
               for (auto* follower : {&this->first, &this->second}) {
@@ -44,6 +44,8 @@
             [](StoreEra) {})),
         first(this->Follow(this->first_store)),
         second(this->Follow(this->second_store)) {
+    this->first_store.era = era;
+    this->second_store.era = era;
     this->first_store.Put("a", "1");
     this->second_store.version = 5;
     this->second_store.Put("b", "1");
@@ -52,7 +54,6 @@
     this->Run();
   }
   std::shared_ptr<TableFollower> Follow(FakeStore& store) {
-    store.era.reset();
     return TableFollower::Create(
         store, this->history, this->loop.timers, "t", milliseconds(0),
         [](const RowMap&) {}, [](bool, const std::string&) {});
@@ -134,6 +135,24 @@
   CHECK(tables.history->epoch() == 1);
 }
 
+// Guards against an own row, or a departure, that stays lost because no read
+// has shown it before the return.
+TEST_CASE("a read that lacks an own write shows a return") {
+  TwoTables tables;
+  auto& store = tables.second_store;
+  WriteReply written;
+  written.applied = true;
+  written.version = store.version + 1;
+  tables.history->ObserveWrite({"t", "b", false, 0}, written);
+  store.version += 30;
+  store.EndPolls();
+  tables.Run();
+  CHECK(tables.history->epoch() == 1);
+  store.EndPolls();
+  tables.Run();
+  CHECK(tables.history->epoch() == 1);
+}
+
 // Guards against rows that stay lost until the longest wait of a poll is over,
 // and against reads of a table that nothing has been written to.
 TEST_CASE("without an era, a table is verified once the store has written") {
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -185,7 +185,11 @@
                                            : "store was away and names no era");
     return;
   }
-  if (lacks_era && this->HasMissedChange(reply.content)) {
+  const bool lacks_written_row =
+      !placed && this->history->LacksWrittenRow(this->table, reply.content,
+                                                this->version_at_call);
+  if (lacks_written_row ||
+      (lacks_era && this->HasMissedChange(reply.content))) {
     this->ReportRead(reply, "returned");
     this->history->RecordReturn("rows differ without a later version");
     return;
