Verify tables that were read before the store ceased to name its era

Cause: Verify left out a table whose rows had been read with an era, so that only its own poll of 25 s showed that the store names none any more.

Change: Verify also reads if the latest reply of the store to any call lacked its era.

Result: the new test fails without the change (epoch 0 instead of 1) and passes with it.

--- a/src/include/cassiakeel/mesh/store_history.h
+++ b/src/include/cassiakeel/mesh/store_history.h
@@ -109,6 +109,8 @@
   bool LacksWrittenRow(const std::string& table,
                        const RowSet& content,
                        std::uint64_t version_at_call) const;
+  /// The latest reply named no valid era, although an earlier one did.
+  bool lacks_era() const { return this->era_is_missing; }
 
  private:
   StoreHistory() = default;
--- a/src/libmesh/store_return_follower_test.cc
+++ b/src/libmesh/store_return_follower_test.cc
@@ -153,6 +153,26 @@
   CHECK(tables.history->epoch() == 1);
 }
 
+// Guards against a table that is read again only after a poll of 25 s, because
+// it was last read while the store named its era.
+TEST_CASE("a table read with an era is verified once the store names none") {
+  TwoTables tables(StoreEra(1));
+  auto& store = tables.second_store;
+  const auto copy = store.Copy();
+  store.Put("c", "1");
+  tables.Run();
+  store.ComeBackFrom(copy);
+  store.version += 30;
+  store.era.reset();
+  tables.first_store.version = store.version;
+  tables.first_store.era.reset();
+  tables.first_store.EndPolls();
+  tables.Run();
+  tables.second->Verify();
+  tables.Run();
+  CHECK(tables.history->epoch() == 1);
+}
+
 // Guards against rows that stay lost until the longest wait of a poll is over,
 // and against reads of a table that nothing has been written to.
 TEST_CASE("without an era, a table is verified once the store has written") {
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -90,8 +90,8 @@
 }
 
 void TableFollower::Verify() {
-  if (this->has_position && !this->is_placed && this->connected &&
-      !this->is_reading &&
+  const bool lacks_era = !this->is_placed || this->history->lacks_era();
+  if (lacks_era && this->has_position && this->connected && !this->is_reading &&
       this->read_version < this->history->newest_version()) {
     ++this->generation;
     this->Read();
