--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -76,6 +76,7 @@
 }
 
 void TableFollower::Read() {
+  this->is_reading = true;
   this->store->Read(this->table, this->MakeHandler(&TableFollower::OnRead));
 }
 
@@ -89,7 +90,8 @@
 }
 
 void TableFollower::Verify() {
-  if (this->has_position && !this->is_placed && this->connected &&
+  const bool lacks_era = !this->is_placed || this->history->lacks_era();
+  if (lacks_era && this->has_position && this->connected && !this->is_reading &&
       this->read_version < this->history->newest_version()) {
     ++this->generation;
     this->Read();
@@ -101,6 +103,7 @@
 }
 
 void TableFollower::Poll(milliseconds wait) {
+  this->is_reading = false;
   this->store->Follow(this->table, this->table_version, wait,
                       this->MakeHandler(&TableFollower::OnChanges));
 }
@@ -157,6 +160,7 @@
 }
 
 void TableFollower::OnRead(StoreReply reply, bool placed) {
+  this->is_reading = false;
   if (reply.fault != StoreFault::kNone) {
     this->OnFailure(reply);
     return;
@@ -181,9 +185,13 @@
                                            : "store was away and names no era");
     return;
   }
-  if (lacks_era && this->HasMissedChange(reply.content)) {
+  const bool lacks_written_row =
+      !placed && this->history->LacksWrittenRow(this->table, reply.content,
+                                                this->version_at_call);
+  if (lacks_written_row ||
+      (lacks_era && this->HasMissedChange(reply.content))) {
     this->ReportRead(reply, "returned");
-    this->history->RecordReturn("a change before the known version is new");
+    this->history->RecordReturn("rows differ without a later version");
     return;
   }
   this->ReportRead(reply, "taken");
@@ -231,7 +239,6 @@
     return;
   }
   this->has_polled = true;
-  this->was_away = this->was_away && !placed;
   this->rereads = 0;
   const bool changed = !reply.content.rows.empty();
   for (auto& row : reply.content.rows) {
