Draw the random delays of the node model in one order

Two random numbers were drawn as arguments of one call, so the compiler chose their order and the history of a seed differed between x86-64 and arm64.

--- a/src/libmesh/store_return_node_model.h
+++ b/src/libmesh/store_return_node_model.h
@@ -342,9 +342,10 @@
       this->Use(table, reply.rows);
     }
     const bool is_slow = this->world.Chance(15);
-    this->ReadAfter(table, this->world.Random(20, 300),
-                    is_slow ? this->world.Random(1000, 4000)
-                            : this->world.Random(100, 500));
+    const int after =
+        is_slow ? this->world.Random(1000, 4000) : this->world.Random(100, 500);
+    const int before = this->world.Random(20, 300);
+    this->ReadAfter(table, before, after);
   }
 
   void Use(ModelTable table, const ModelRows& rows) {
