Poll the policy as in a large fleet until the size of the fleet is known

Callers saw no fault; the price of calls to the store rose. PolicyPollPace keeps the longest wait until 2 s after the first rows of the directory, and TableFollower replaces a poll that lasts longer than the new waits within their mean.

--- a/src/include/cassiakeel/mesh/table_follower.h
+++ b/src/include/cassiakeel/mesh/table_follower.h
@@ -62,10 +62,9 @@
   /// handler of StoreHistory.
   void OnStoreReturned(std::chrono::milliseconds spread);
   /// Sets the mean wait of a poll from the next one on. The waits are random,
-  /// because all nodes poll again at the same moment after a change.
-  void SetMeanPollWait(std::chrono::milliseconds wait) {
-    this->mean_poll_wait = wait;
-  }
+  /// because all nodes poll again at the same moment after a change. A poll
+  /// under way that lasts longer than the new waits is replaced within `wait`.
+  void SetMeanPollWait(std::chrono::milliseconds wait);
   /// Reads the whole table if the store names no era and has written to any
   /// table since the last such read. A poll would not show a return after which
   /// the numbers have passed the known one.
@@ -120,6 +119,8 @@
   std::chrono::milliseconds min_poll_interval{0};
   /// Nothing for the longest wait.
   std::optional<std::chrono::milliseconds> mean_poll_wait;
+  /// When the poll under way ends without a change.
+  std::optional<SteadyTime> poll_end;
   ChangeHandler on_change;
   ConnectionHandler on_connection;
   ReadHandler on_read;
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -8,6 +8,7 @@
 #include "control_log.h"
 #include "decision_log.h"
 #include "peer_state.h"
+#include "policy_poll_pace.h"
 #include "store_pace.h"
 
 namespace cassiakeel::mesh {
@@ -15,12 +16,8 @@
 
 using std::chrono::milliseconds;
 
-// Policy changes are applied at once. Directory changes are batched, because
-// each reply costs every node another call to the store. The delay is
-// acceptable: the gate of a leaving server refuses calls at once, and a new
-// server can wait for some seconds.
+// Policy changes are applied at once.
 constexpr milliseconds kPolicyPollInterval{0};
-constexpr milliseconds kDirectoryPollInterval{1800};
 // A backend server is considered gone after this number of report intervals
 // plus kReportMargin without a report. Reports may be seconds late.
 constexpr int kMaxMissedReports = 3;
@@ -93,13 +90,13 @@
         });
     this->directory_rows = TableFollower::Create(
         store, this->history, timers, settings.directory_table,
-        kDirectoryPollInterval,
+        pvt::kDirectoryPollInterval,
         [this](const RowMap& rows) { this->OnDirectoryRows(rows); },
         this->ConnectionLogger(settings.directory_table),
         [this](const TableReadReport& report) {
           pvt::LogTableRead(this->log, this->settings.directory_table, report);
         });
-    this->SetPollWait(0);
+    this->poll_pace = pvt::PolicyPollPace::Create(timers, this->policy_rows);
     node.SetPeerHandlers(this->MakePeerHandlers());
   }
 
@@ -168,7 +165,8 @@
       });
     }
     if (peer.directory.era > this->history->era()) {
-      this->policy_rows->CheckWithin(pvt::RereadSpread(this->directory_size));
+      this->policy_rows->CheckWithin(
+          pvt::RereadSpread(this->poll_pace->nodes()));
     }
     this->ReloadDirectoryIfBehind(peer.directory);
   }
@@ -218,7 +216,7 @@
     this->registrar->OnStoreReturned();
     pvt::CountReturn(this->recent_returns, now);
     const auto spread =
-        pvt::RereadSpread(this->directory_size, this->recent_returns);
+        pvt::RereadSpread(this->poll_pace->nodes(), this->recent_returns);
     this->policy_rows->OnStoreReturned(spread);
     this->directory_rows->OnStoreReturned(spread);
     this->UpdateStoreStatus();
@@ -353,7 +351,9 @@
     const auto now = this->timers->Now();
     auto directory =
         std::make_shared<const Directory>(VisibleDirectory(this->view, now));
-    this->SetPollWait(directory->size());
+    const bool has_restarted =
+        !this->own_row_known && directory->contains(this->mesh.node);
+    this->poll_pace->OnDirectory(directory->size(), has_restarted);
     this->RestoreBackend(*directory);
     if (!this->directory_in_use || *directory != *this->directory_in_use ||
         this->directory_position != this->position_in_use) {
@@ -370,11 +370,6 @@
     }
   }
 
-  void SetPollWait(std::size_t nodes) {
-    this->directory_size = nodes;
-    this->policy_rows->SetMeanPollWait(pvt::MeanPolicyPollWait(nodes));
-  }
-
   // Restores the backend server from this node's directory row, so that a
   // restarted node serves it before the next report, and does not take it up
   // again if it has departed. A row of a server that is gone is harmless,
@@ -428,6 +423,7 @@
   std::unique_ptr<BackendWatch> watch;
   std::shared_ptr<TableFollower> policy_rows;
   std::shared_ptr<TableFollower> directory_rows;
+  std::unique_ptr<pvt::PolicyPollPace> poll_pace;
   PolicyVersion policy_version;
   /// Epoch of the store in which the policy in force was read last; nothing if
   /// only a peer has shown it.
@@ -436,7 +432,6 @@
   /// refused.
   RowMap policy_in_force;
   StorePosition directory_position;
-  std::size_t directory_size = 0;
   /// What the node has got.
   std::shared_ptr<const Directory> directory_in_use;
   StorePosition position_in_use;
--- a/src/libmesh/mesh_test_support.h
+++ b/src/libmesh/mesh_test_support.h
@@ -396,6 +396,15 @@
     }
   }
 
+  /// Shortest wait of the polls that hang.
+  std::chrono::milliseconds ShortestWait() const {
+    auto shortest = std::chrono::milliseconds::max();
+    for (const auto& poll : this->followers) {
+      shortest = std::min(shortest, poll.wait);
+    }
+    return shortest;
+  }
+
   /// Delivers all pending replies, including those caused by other replies.
   void DeliverReplies() {
     while (!this->pending_replies.empty()) {
--- a/src/libmesh/table_follower.cc
+++ b/src/libmesh/table_follower.cc
@@ -75,8 +75,18 @@
   };
 }
 
+void TableFollower::SetMeanPollWait(milliseconds wait) {
+  this->mean_poll_wait = wait;
+  const auto now = this->timers->Now();
+  if (this->poll_end && *this->poll_end > now + 2 * wait) {
+    this->poll_end = now + wait;
+    this->CheckWithin(wait);
+  }
+}
+
 void TableFollower::Read() {
   this->is_reading = true;
+  this->poll_end.reset();
   this->store->Read(this->table, this->MakeHandler(&TableFollower::OnRead));
 }
 
@@ -104,6 +114,7 @@
 
 void TableFollower::Poll(milliseconds wait) {
   this->is_reading = false;
+  this->poll_end = this->timers->Now() + wait;
   this->store->Follow(this->table, this->table_version, wait,
                       this->MakeHandler(&TableFollower::OnChanges));
 }
@@ -146,6 +157,7 @@
 }
 
 void TableFollower::OnStoreReturned(milliseconds spread) {
+  this->poll_end.reset();
   this->has_position = false;
   this->is_placed = false;
   this->must_read = true;
@@ -212,6 +224,7 @@
 }
 
 void TableFollower::OnChanges(StoreReply reply, bool placed) {
+  this->poll_end.reset();
   if (reply.fault == StoreFault::kHistoryLost) {
     this->ReportRead(reply, "history_lost");
     this->MarkConnected();
