--- a/testsuite/harness/soak_returns.py
+++ b/testsuite/harness/soak_returns.py
@@ -121,8 +121,9 @@
         line = f"GET /version/{version}/x HTTP/1.1"
         self.checker.sent[attempt] = {
             "line": line, "body": b"", "safe": True, "service": "s0",
-            "caller": node.service, "due": False, "key": None, "tenant": None,
-            "forbidden": False}
+            "caller": node.service, "node": node.name,
+            "node_age_s": self.clock() - node.started_at, "due": False, "key": None,
+            "tenant": None, "forbidden": False}
         message = (f"{line}\r\nHost: h\r\nX-Attempt-Id: {attempt}\r\n"
                    "X-Timeout-Ms: 1000\r\n\r\n")
         response, _ = await send_request(node.outbound, message.encode(), 1.5)
