A connection carries each attempt id once

Cause: an attempt may be sent again to the server that refused it, under the same id. A response is matched by the id alone, and ClientConnection::Usable kept the attempt off a connection only if it had carried the attempt last. With another request in between, a late copy of the first refusal was taken for the response to the second sending, which ran.

Change: a connection keeps a hash of each id that it has carried and is not used for one of them again; it is closed after 1,000 requests. An attempt that is sent again uses an idle connection without it before a new one is opened.

--- a/src/include/cassiakeel/h1/client.h
+++ b/src/include/cassiakeel/h1/client.h
@@ -49,9 +49,10 @@
   /// with another value in this field answers an earlier request on the
   /// connection and is discarded. A response without this field is accepted
   /// only on a new connection, and ends the fetch with `kNoResponse` on a
-  /// reused one, where it may be a late copy of an earlier response. After it,
-  /// and for the same value again, the connection is not reused. An empty name
-  /// disables the check.
+  /// reused one, where it may be a late copy of an earlier response; after it,
+  /// the connection is not reused. A connection carries each value once,
+  /// because a late copy of the first response would be taken for the second.
+  /// An empty name disables the check.
   std::string echo_field;
   /// Empty if the request has no such value; it then has a connection of its
   /// own.
--- a/src/libh1/client.cc
+++ b/src/libh1/client.cc
@@ -1,5 +1,6 @@
 #include "cassiakeel/h1/client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "client_connection.h"
@@ -35,22 +36,33 @@
   }
 
   std::shared_ptr<pvt::ClientConnection> TakeConnection(const Fetch& fetch) {
-    const auto now = this->client_state->timers->Now();
-    const auto found = this->client_state->idle_connections.find(fetch.peer);
-    if (found != this->client_state->idle_connections.end()) {
-      auto newest = found->second.back();
-      if (newest->Usable(now, fetch)) {
-        if (!newest->HasStrayBytes()) {
-          this->client_state->RemoveIdle(newest, fetch.peer);
-          return newest;
-        }
-        newest->Close();
-      }
+    const auto idle = this->FindIdleConnection(fetch);
+    if (idle && !idle->HasStrayBytes()) {
+      this->client_state->RemoveIdle(idle, fetch.peer);
+      return idle;
+    }
+    if (idle) {
+      idle->Close();
     }
     return std::make_shared<pvt::ClientConnection>(this->client_state,
                                                    fetch.peer);
   }
 
+  // The connection released last among those that may carry `fetch`.
+  std::shared_ptr<pvt::ClientConnection> FindIdleConnection(
+      const Fetch& fetch) const {
+    const auto now = this->client_state->timers->Now();
+    const auto found = this->client_state->idle_connections.find(fetch.peer);
+    if (found == this->client_state->idle_connections.end()) {
+      return nullptr;
+    }
+    const auto& connections = found->second;
+    const auto usable = std::find_if(
+        connections.rbegin(), connections.rend(),
+        [&](const auto& connection) { return connection->Usable(now, fetch); });
+    return usable == connections.rend() ? nullptr : *usable;
+  }
+
   std::shared_ptr<pvt::ClientState> client_state;
 };
 
--- a/src/libh1/client_connection.cc
+++ b/src/libh1/client_connection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <charconv>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -23,6 +24,10 @@
 // earlier requests.
 constexpr std::size_t kMaxReceivedRatio = 2;
 
+// A connection is closed after this number of requests, which bounds the memory
+// for their ids.
+constexpr std::size_t kMaxRequests = 1000;
+
 // A request of this size fits into the receive buffer of a peer, whose kernel
 // acknowledges it even if the peer does not read.
 constexpr std::size_t kAlwaysAcknowledgedBytes = 16U << 10U;
@@ -43,6 +48,10 @@
       static_cast<milliseconds::rep>(seconds * 1000 * kReuseFraction));
 }
 
+std::uint32_t HashOf(const std::string& echo_value) {
+  return static_cast<std::uint32_t>(std::hash<std::string>()(echo_value));
+}
+
 }  // namespace
 
 ClientConnection::ClientConnection(std::shared_ptr<ClientState> client_state,
@@ -59,6 +68,9 @@
   this->fetch_id = id;
   this->fetch = std::move(next);
   this->handler = std::move(next_handler);
+  if (!this->fetch.echo_field.empty()) {
+    this->carried.push_back(HashOf(this->fetch.echo_value));
+  }
   this->SetTimeout(this->fetch.deadline);
   if (this->connected) {
     this->fresh = false;
@@ -87,11 +99,17 @@
 }
 
 bool ClientConnection::Usable(SteadyTime now, const Fetch& next) const {
-  const bool has_own_id =
-      next.echo_field.empty() ||
-      (!next.echo_value.empty() && next.echo_value != this->fetch.echo_value);
-  return !this->closed && now < this->keep_until && has_own_id &&
-         now - this->idle_since < next.max_idle;
+  if (this->closed || now >= this->keep_until ||
+      now - this->idle_since >= next.max_idle) {
+    return false;
+  }
+  return next.echo_field.empty() ||
+         (!next.echo_value.empty() && !this->HasCarried(next.echo_value));
+}
+
+bool ClientConnection::HasCarried(const std::string& echo_value) const {
+  return std::ranges::find(this->carried, HashOf(echo_value)) !=
+         this->carried.end();
 }
 
 bool ClientConnection::HasStrayBytes() const {
@@ -286,7 +304,8 @@
     }
     this->Deliver(bytes.empty() && this->parser.keep_alive() &&
                   !this->writing && !this->write_error &&
-                  answered == Answered::kCurrent);
+                  answered == Answered::kCurrent &&
+                  this->carried.size() < kMaxRequests);
     return;
   }
   this->buffered.Set(this->parser.buffered_bytes());
--- a/src/libh1/client_connection.h
+++ b/src/libh1/client_connection.h
@@ -2,11 +2,13 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "buffer_budget.h"
 #include "cassiakeel/h1/client.h"
@@ -80,6 +82,10 @@
   void Consume(std::string_view bytes);
   void ResetParser();
 
+  /// True if a response that repeats `echo_value` may be a late copy of one to
+  /// an earlier request. Rarely also true for another value.
+  bool HasCarried(const std::string& echo_value) const;
+
   /// Which request the parsed response answers.
   Answered AnsweredRequest() const;
   void Deliver(bool reusable);
@@ -97,6 +103,8 @@
   std::size_t received_bytes = 0;
   FetchId fetch_id = 0;
   Fetch fetch;
+  /// Hashes of the echo values of all requests sent so far.
+  std::vector<std::uint32_t> carried;
   FetchHandler handler;
   Timer timeout;
   Timer connect_timeout;
