--- a/src/libh1/client.cc
+++ b/src/libh1/client.cc
@@ -36,7 +36,7 @@
   }
 
   std::shared_ptr<pvt::ClientConnection> TakeConnection(const Fetch& fetch) {
-    const auto idle = this->FindIdleConnection(fetch);
+    auto idle = this->FindIdleConnection(fetch);
     if (idle && !idle->HasStrayBytes()) {
       this->client_state->RemoveIdle(idle, fetch.peer);
       return idle;
