A process that starts without the store keeps confirmed departures

It was the same for draining and deregistration, with a store that was silent, refused, lost its answers or stayed away for 9 s, and with departures 0.3 and 1.2 s apart.

Cause: the departure was in the store alone; the other nodes read the directory in batches of up to 1.8 s. A process started while the store is away takes the directory of a peer, and restored its server from its row there as if it were the store's. The log showed `backend` with leaving 0 beside `directory` with source peer.

Change: a peer's row does not bring the node's own server into use, its next report does. A departure is announced to all nodes before it is confirmed, and handed on to nodes that start, so that a late report does not undo it. A server that starts while the store is away is announced as well, so that it does not wait for the store. OwnBackend holds what MeshControl knew of the server.

--- a/src/include/cassiakeel/mesh/directory_view.h
+++ b/src/include/cassiakeel/mesh/directory_view.h
@@ -17,11 +17,12 @@
 /// of the directory are read in batches of up to 1.8 s.
 inline constexpr std::chrono::milliseconds kRewriteGrace{4000};
 
-/// An entry that was known when the store came back from an older copy.
+/// An entry that was known when the store came back from an older copy, or that
+/// its node has announced.
 struct KeptEntry {
   DirectoryEntry entry;
   /// Until then the entry stands in for a row that the copy lacks. Nothing
-  /// until the copy was read.
+  /// until the copy was read, and for an announced entry.
   std::optional<SteadyTime> grace_end;
 };
 
@@ -32,20 +33,29 @@
   Directory stored;
   std::map<NodeId, std::uint64_t> stored_versions;
   std::map<NodeId, KeptEntry> kept;
-  /// Versions of the rows in the copy. A row that still has its version has not
-  /// been written since the return.
+  /// Versions of the rows in the copy, or at the announcement of a later entry.
+  /// A row that still has its version has not been written since.
   std::map<NodeId, std::uint64_t> copy_versions;
   /// The next rows are the first ones since a return.
   bool awaits_copy = false;
+  /// Departures that their nodes have announced and the rows do not show yet.
+  /// They are handed on to nodes that restart. Calls may still be sent to the
+  /// nodes, which refuse them.
+  std::map<NodeId, DirectoryEntry> announced_departures;
 };
 
 /// Takes the rows as read at `now`. Rows that cannot be decoded are skipped.
 void ApplyRows(DirectoryView& view, const RowMap& rows, SteadyTime now);
 
 /// Takes the rows of a peer for what was known before the first read of this
-/// node. The next rows that are applied are checked against them.
+/// node. The next rows that are applied are checked against them. Announced
+/// entries that the peer does not know yet stay.
 void ApplyPeerRows(DirectoryView& view, const RowMap& rows);
 
+/// Takes an entry that its node has announced, until the row of the node
+/// changes. Returns false if the view has it or a later one.
+bool ApplyAnnouncement(DirectoryView& view, const DirectoryEntry& announced);
+
 /// Keeps what the view shows at `now`, because the store has come back from an
 /// older copy. The next rows that are applied are those of the copy.
 void BeginReturn(DirectoryView& view, SteadyTime now);
@@ -53,6 +63,10 @@
 /// The entries to use at `now`.
 Directory VisibleDirectory(const DirectoryView& view, SteadyTime now);
 
+/// The entries to hand on to other nodes: as `VisibleDirectory`, with the
+/// departures that were announced.
+Directory KnownDirectory(const DirectoryView& view, SteadyTime now);
+
 /// When `VisibleDirectory` changes next with time alone; nothing if it does
 /// not.
 std::optional<SteadyTime> NextChange(const DirectoryView& view, SteadyTime now);
--- a/src/include/cassiakeel/mesh/table_follower.h
+++ b/src/include/cassiakeel/mesh/table_follower.h
@@ -77,6 +77,8 @@
   /// again on a new connection.
   void ReloadIfBehind(std::function<bool()> is_behind);
   bool loaded() const { return this->is_loaded; }
+  /// The latest call was answered, or none has ended yet.
+  bool is_connected() const { return this->connected; }
   /// The table was read since the latest return of the store.
   bool is_current() const { return this->has_position; }
   /// All rows of the local copy.
--- a/src/include/cassiakeel/routing/selection.h
+++ b/src/include/cassiakeel/routing/selection.h
@@ -202,6 +202,10 @@
 /// `kTimeout`. `kCancelled` ends the call without counting as a failure.
 void OnFailure(Pool& pool, const NodeId& node, Reason reason, SteadyTime now);
 
+/// Records that the endpoint of `node` takes calls, so that an earlier refusal
+/// because it was leaving does not exclude it any longer.
+void OnReady(Pool& pool, const NodeId& node);
+
 /// Retry tokens of a peer, or null if the node is unknown.
 RetryTokens* FindRetryTokens(Pool& pool, const NodeId& node);
 
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -7,8 +7,10 @@
 #include "cassiakeel/mesh/directory_view.h"
 #include "control_log.h"
 #include "decision_log.h"
+#include "own_backend.h"
 #include "peer_state.h"
 #include "policy_poll_pace.h"
+#include "row_announcer.h"
 #include "store_pace.h"
 
 namespace cassiakeel::mesh {
@@ -59,7 +61,7 @@
     // A peer may have written a departure that this node lost in a restart.
     this->registrar->OnConflict([this](const StoredRow& row) {
       if (const auto entry = DecodeDirectoryEntry(row.key, row.value)) {
-        this->RestoreFrom(*entry);
+        this->backend->OnStoredRow(*entry);
       }
     });
     this->keeper = DepartureKeeper::Create(
@@ -72,10 +74,19 @@
           ++this->store_status.departures_rewritten;
           this->UpdateStoreStatus();
         });
-    this->watch = BackendWatch::Create(
-        timers, clock,
-        settings.report_interval * kMaxMissedReports + kReportMargin,
-        [this](const LocalBackend& backend) { this->OnBackend(backend); });
+    this->announcer = pvt::RowAnnouncer::Create(
+        io_context, timers, [this](const pvt::AnnouncementReport& report) {
+          pvt::LogAnnouncement(this->log, report);
+        });
+    this->backend = pvt::OwnBackend::Create(
+        io_context, this->mesh,
+        settings.report_interval * kMaxMissedReports + kReportMargin, timers,
+        clock, node, this->registrar, *this->announcer, this->log,
+        [this](const DirectoryEntry& entry) {
+          // Later, because the directory may be about to change.
+          asio::post(this->io_context,
+                     [this, entry] { this->Announce(entry); });
+        });
     this->policy_rows = TableFollower::Create(
         store, this->history, timers, settings.policy_table,
         kPolicyPollInterval,
@@ -106,19 +117,13 @@
   }
 
   void OnReport(const BackendReport& report, ConfirmHandler confirm) {
-    this->pending_confirm =
-        report.leaving ? this->ConfirmWhenStored(std::move(confirm))
-                       : [confirm = std::move(confirm)] { confirm(true); };
-    this->watch->OnReport(report);
-    this->ConfirmUnchanged();
+    this->backend->OnReport(report, std::move(confirm));
   }
 
   void OnDeparture(const InstanceId& instance,
                    std::int64_t started_at_ms,
                    ConfirmHandler confirm) {
-    this->pending_confirm = this->ConfirmWhenStored(std::move(confirm));
-    this->watch->OnDeparture(instance, started_at_ms);
-    this->ConfirmUnchanged();
+    this->backend->OnDeparture(instance, started_at_ms, std::move(confirm));
   }
 
  private:
@@ -138,25 +143,6 @@
             }};
   }
 
-  // Confirms a departure that the gate applies only when it is stored as well,
-  // because a restarted node knows no other.
-  std::function<void()> ConfirmWhenStored(ConfirmHandler confirm) {
-    return [this, confirm = std::move(confirm)] {
-      asio::post(this->io_context, [this, confirm] {
-        this->registrar->WhenStored([this, confirm](bool stored) {
-          if (!stored) {
-            this->log.Write(
-                "departure_not_stored",
-                pvt::JsonString(
-                    "instance",
-                    this->watch->current().report.instance.Value()));
-          }
-          confirm(stored);
-        });
-      });
-    };
-  }
-
   void OnPeerVersions(const StateVersions& peer) {
     this->newest.policy = std::max(this->newest.policy, peer.policy);
     if (this->newest.policy > this->policy_version.Value()) {
@@ -227,18 +213,18 @@
       return;
     }
     this->node.SendState(address, pvt::EncodePeerState({this->policy_in_force,
-                                                        this->VisibleRows()}));
+                                                        this->KnownRows()}));
   }
 
-  // The rows of the directory as this node uses them. After a return of the
-  // store, the stored ones may lack what it knows.
-  RowMap VisibleRows() const {
-    if (this->view.kept.empty()) {
+  // The rows of the directory as this node knows them. The stored ones may lack
+  // what was announced, and after a return of the store more than that.
+  RowMap KnownRows() const {
+    if (this->view.kept.empty() && this->view.announced_departures.empty()) {
       return this->directory_rows->rows();
     }
     RowMap rows;
     for (const auto& [node, entry] :
-         VisibleDirectory(this->view, this->timers->Now())) {
+         KnownDirectory(this->view, this->timers->Now())) {
       const auto version = this->view.stored_versions.find(node);
       rows[node.Value()] = {
           node.Value(), EncodeDirectoryEntry(entry),
@@ -254,6 +240,10 @@
                       pvt::JsonString("cause", state.error().ToString()));
       return;
     }
+    if (state->announced) {
+      this->OnAnnouncement(*state->announced);
+      return;
+    }
     // The store may turn this node away while a peer can read it.
     this->OnPolicyRows(state->policy, false);
     if (!this->directory_rows->loaded()) {
@@ -262,28 +252,41 @@
     }
   }
 
-  TableFollower::ConnectionHandler ConnectionLogger(const std::string& table) {
-    return [this, table](bool up, const std::string& cause) {
-      pvt::LogConnection(this->log, table, up, cause);
-    };
+  void OnAnnouncement(const DirectoryEntry& entry) {
+    if (entry.node == this->mesh.node ||
+        !ApplyAnnouncement(this->view, entry)) {
+      return;
+    }
+    pvt::LogAnnouncedEntry(this->log, entry);
+    this->UseAnnounced(entry);
   }
 
-  // Confirms a report at once if it changed nothing. Otherwise OnBackend has
-  // passed the callback to the node.
-  void ConfirmUnchanged() {
-    if (const auto applied = std::exchange(this->pending_confirm, nullptr)) {
-      applied();
+  void UseAnnounced(const DirectoryEntry& entry) {
+    if (!entry.departed && this->directory_in_use) {
+      this->UseDirectory("announcement");
     }
   }
 
-  void OnBackend(const LocalBackend& backend) {
-    if (!this->own_row_known) {
+  // Tells the other nodes of a departure at once, and of a server if they
+  // cannot read its row.
+  void Announce(const DirectoryEntry& entry) {
+    const bool is_readable =
+        this->directory_rows->loaded() && this->directory_rows->is_connected();
+    if ((!entry.departed && is_readable) || !this->directory_in_use ||
+        !ApplyAnnouncement(this->view, entry)) {
       return;
     }
-    pvt::LogBackend(this->log, backend);
-    this->node.SetBackend(backend,
-                          std::exchange(this->pending_confirm, nullptr));
-    this->registrar->Publish(MakeDirectoryEntry(this->mesh, backend));
+    this->announcer->Send(entry, *this->directory_in_use);
+    this->UseAnnounced(entry);
+  }
+
+  TableFollower::ConnectionHandler ConnectionLogger(const std::string& table) {
+    return [this, table](bool up, const std::string& cause) {
+      pvt::LogConnection(this->log, table, up, cause);
+      if (!up) {
+        this->backend->OnStoreLost();
+      }
+    };
   }
 
   // `from_store`: the rows were read by this node, and not by a peer.
@@ -352,9 +355,9 @@
     auto directory =
         std::make_shared<const Directory>(VisibleDirectory(this->view, now));
     const bool has_restarted =
-        !this->own_row_known && directory->contains(this->mesh.node);
+        !this->backend->row_is_known() && directory->contains(this->mesh.node);
     this->poll_pace->OnDirectory(directory->size(), has_restarted);
-    this->RestoreBackend(*directory);
+    this->backend->OnDirectory(*directory, this->directory_rows->loaded());
     if (!this->directory_in_use || *directory != *this->directory_in_use ||
         this->directory_position != this->position_in_use) {
       pvt::LogDirectory(this->log, directory->size(), this->directory_position,
@@ -370,45 +373,6 @@
     }
   }
 
-  // Restores the backend server from this node's directory row, so that a
-  // restarted node serves it before the next report, and does not take it up
-  // again if it has departed. A row of a server that is gone is harmless,
-  // because each request names the expected instance. Reports that arrived
-  // before the row was known take effect here.
-  void RestoreBackend(const Directory& directory) {
-    const auto found = directory.find(this->mesh.node);
-    if (found != directory.end()) {
-      this->RestoreFrom(found->second);
-    }
-    if (!std::exchange(this->own_row_known, true) &&
-        !this->watch->current().report.instance.Value().empty()) {
-      this->OnBackend(this->watch->current());
-    }
-  }
-
-  void RestoreFrom(const DirectoryEntry& own) {
-    if (own.departed) {
-      if (this->watch->RestoreDeparture(own.instance, own.started_at_ms)) {
-        this->log.Write(
-            "departure_restored",
-            pvt::JsonString("instance", own.instance.Value()) + "," +
-                pvt::JsonNumber("started_at_ms", own.started_at_ms));
-      }
-      return;
-    }
-    if (own.leaving || own.service != this->mesh.service ||
-        this->mesh.backend_address.Value().empty()) {
-      return;
-    }
-    BackendReport report;
-    report.instance = own.instance;
-    report.service = own.service;
-    report.address = this->mesh.backend_address;
-    report.slots = own.slots;
-    report.started_at_ms = own.started_at_ms;
-    this->watch->Restore(report);
-  }
-
   asio::io_context& io_context;
   MeshSettings mesh;
   ControlSettings settings;
@@ -420,7 +384,8 @@
   std::shared_ptr<h1::TimerQueue> timers;
   std::shared_ptr<Registrar> registrar;
   std::shared_ptr<DepartureKeeper> keeper;
-  std::unique_ptr<BackendWatch> watch;
+  std::unique_ptr<pvt::RowAnnouncer> announcer;
+  std::unique_ptr<pvt::OwnBackend> backend;
   std::shared_ptr<TableFollower> policy_rows;
   std::shared_ptr<TableFollower> directory_rows;
   std::unique_ptr<pvt::PolicyPollPace> poll_pace;
@@ -444,11 +409,6 @@
   std::optional<SteadyTime> recovery_started;
   /// Ends the grace of entries that the store lacks.
   h1::Timer grace_timer;
-  /// The directory, and with it this node's row, was read from the store or
-  /// received from a peer. Until then, reports of the backend server are held
-  /// back: a late one may be of a server whose departure is in the row.
-  bool own_row_known = false;
-  std::function<void()> pending_confirm;
 };
 
 std::unique_ptr<MeshControl> MeshControl::Create(
--- a/src/libmesh/control_log.cc
+++ b/src/libmesh/control_log.cc
@@ -72,4 +72,18 @@
                            Field("slots", backend.report.slots.Value()));
 }
 
+void LogAnnouncement(DecisionLog& log, const AnnouncementReport& report) {
+  log.Write("row_announced",
+            JsonNumber("nodes", static_cast<std::int64_t>(report.nodes)) +
+                Field("acknowledged", report.acknowledged) +
+                Field("after_ms", report.time.count()));
+}
+
+void LogAnnouncedEntry(DecisionLog& log, const DirectoryEntry& entry) {
+  log.WriteLimited("row_received",
+                   JsonString("node", entry.node.Value()) + "," +
+                       JsonString("instance", entry.instance.Value()) +
+                       Field("departed", entry.departed ? 1 : 0));
+}
+
 }  // namespace cassiakeel::mesh::pvt
--- a/src/libmesh/control_log.h
+++ b/src/libmesh/control_log.h
@@ -8,6 +8,7 @@
 #include "cassiakeel/mesh/table_follower.h"
 #include "cassiakeel/mesh/traffic_policy.h"
 #include "decision_log.h"
+#include "row_announcer.h"
 
 namespace cassiakeel::mesh::pvt {
 
@@ -32,5 +33,9 @@
                   const StorePosition& position,
                   std::string_view source);
 void LogBackend(DecisionLog& log, const LocalBackend& backend);
+/// This node has announced its row.
+void LogAnnouncement(DecisionLog& log, const AnnouncementReport& report);
+/// Another node has announced `entry`, which was not known.
+void LogAnnouncedEntry(DecisionLog& log, const DirectoryEntry& entry);
 
 }  // namespace cassiakeel::mesh::pvt
--- a/src/libmesh/control_test_support.h
+++ b/src/libmesh/control_test_support.h
@@ -75,20 +75,33 @@
 // A node with its control plane and its own store.
 class ControlledNode {
  public:
-  ControlledNode(TestMesh& mesh, ControlLoop& loop, const std::string& name)
+  // `backend_address`: where the node expects its backend server after a
+  // restart.
+  ControlledNode(TestMesh& mesh,
+                 ControlLoop& loop,
+                 const std::string& name,
+                 const PeerAddress& backend_address = {})
       : node(mesh.AddNode(name, "back")),
-        control(MeshControl::Create(loop.io_context,
-                                    mesh.settings[name],
-                                    {"policies", "config", "nodes"},
-                                    this->store,
-                                    loop.timers,
-                                    loop.clock,
-                                    this->node,
-                                    DecodeTestPolicy)) {}
+        control(MeshControl::Create(
+            loop.io_context,
+            WithBackend(mesh.settings[name], backend_address),
+            {"policies", "config", "nodes"},
+            this->store,
+            loop.timers,
+            loop.clock,
+            this->node,
+            DecodeTestPolicy)) {}
 
   FakeStore store;
   MeshNode& node;
   std::unique_ptr<MeshControl> control;
+
+ private:
+  static MeshSettings WithBackend(MeshSettings settings,
+                                  const PeerAddress& address) {
+    settings.backend_address = address;
+    return settings;
+  }
 };
 
 // The report that the backend server of `mesh` beside `node` sends.
@@ -104,7 +117,8 @@
 // One node that restarts: its store, its backend server and what it has to know
 // besides its own row to forward requests.
 struct RestartedNode {
-  explicit RestartedNode(const std::string& own_row) : node(mesh, loop, "n") {
+  explicit RestartedNode(const std::string& own_row)
+      : node(mesh, loop, "n", backend.address) {
     this->node.store.Put("config", "7");
     this->node.store.Put("n", own_row);
   }
--- a/src/libmesh/directory_view.cc
+++ b/src/libmesh/directory_view.cc
@@ -1,6 +1,7 @@
 #include "cassiakeel/mesh/directory_view.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "cassiakeel/mesh/registrar.h"
 
@@ -18,9 +19,9 @@
   kAlways,
 };
 
-// Whether a row of the copy shows less than what was known before. That a
-// server had stopped to report, and no more than that, is not compared: its
-// node writes nothing if the row of the copy is right again.
+// Whether a row shows less than what is known otherwise. That a server had
+// stopped to report, and no more than that, is not compared: its node writes
+// nothing if the row of the copy is right again.
 bool IsOlder(const DirectoryEntry& row, const DirectoryEntry& kept) {
   if (row.started_at_ms != kept.started_at_ms) {
     return row.started_at_ms < kept.started_at_ms;
@@ -68,6 +69,10 @@
   for (const auto& [node, entry] : view.stored) {
     view.stored_versions[node] = rows.at(node.Value()).version;
   }
+  std::erase_if(view.announced_departures, [&view](const auto& item) {
+    const auto row = view.stored.find(item.first);
+    return row != view.stored.end() && !IsOlder(row->second, item.second);
+  });
   if (view.awaits_copy) {
     view.copy_versions = view.stored_versions;
     view.awaits_copy = false;
@@ -78,18 +83,48 @@
 }
 
 void ApplyPeerRows(DirectoryView& view, const RowMap& rows) {
-  view.kept.clear();
+  const auto known = std::exchange(view.kept, {});
   for (const auto& [node, entry] : DecodeDirectory(rows)) {
     view.kept[node] = {entry, std::nullopt};
   }
+  for (const auto& [node, item] : known) {
+    const auto taken = view.kept.find(node);
+    if (taken == view.kept.end() || IsOlder(taken->second.entry, item.entry)) {
+      view.kept[node] = item;
+    }
+  }
   view.awaits_copy = true;
 }
 
+bool ApplyAnnouncement(DirectoryView& view, const DirectoryEntry& announced) {
+  const auto kept = view.kept.find(announced.node);
+  const auto row = view.stored.find(announced.node);
+  const auto departure = view.announced_departures.find(announced.node);
+  if ((kept != view.kept.end() && !IsOlder(kept->second.entry, announced)) ||
+      (row != view.stored.end() && !IsOlder(row->second, announced)) ||
+      (departure != view.announced_departures.end() &&
+       !IsOlder(departure->second, announced))) {
+    return false;
+  }
+  if (announced.departed) {
+    view.announced_departures[announced.node] = announced;
+    return true;
+  }
+  view.announced_departures.erase(announced.node);
+  view.kept[announced.node] = {announced, std::nullopt};
+  if (row != view.stored.end()) {
+    view.copy_versions[announced.node] =
+        view.stored_versions.at(announced.node);
+  }
+  return true;
+}
+
 void BeginReturn(DirectoryView& view, SteadyTime now) {
   // Entries that are not shown any more still keep older rows from being used.
-  for (const auto& [node, entry] : VisibleDirectory(view, now)) {
+  for (const auto& [node, entry] : KnownDirectory(view, now)) {
     view.kept[node] = {entry, std::nullopt};
   }
+  view.announced_departures.clear();
   view.awaits_copy = true;
 }
 
@@ -113,6 +148,17 @@
   return visible;
 }
 
+Directory KnownDirectory(const DirectoryView& view, SteadyTime now) {
+  auto known = VisibleDirectory(view, now);
+  for (const auto& [node, departure] : view.announced_departures) {
+    const auto found = known.find(node);
+    if (found == known.end() || IsOlder(found->second, departure)) {
+      known[node] = departure;
+    }
+  }
+  return known;
+}
+
 std::optional<SteadyTime> NextChange(const DirectoryView& view,
                                      SteadyTime now) {
   std::optional<SteadyTime> next;
--- a/src/libmesh/dispatcher.h
+++ b/src/libmesh/dispatcher.h
@@ -36,6 +36,10 @@
 
   void SetPolicy(std::shared_ptr<const TrafficPolicy> next);
   void SetDirectory(std::shared_ptr<const Directory> next);
+  /// The backend server on this machine takes calls of `service`.
+  void OnOwnServerReady(const ServiceName& service) {
+    this->pools.OnOwnServerReady(service);
+  }
   void SetVersions(const StateVersions& next) { this->versions = next; }
   /// Sets the newest policy version that this node or a peer has.
   void SetNewestPolicy(std::uint64_t version) { this->newest_policy = version; }
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -215,7 +215,12 @@
                             static_cast<std::int64_t>(report.held_bytes)));
   }
 
-  pvt::BackendGate& gate_ref() { return *this->gate; }
+  void SetBackend(const LocalBackend& backend) {
+    this->gate->SetBackend(backend);
+    if (backend.present && !backend.report.leaving) {
+      this->dispatcher->OnOwnServerReady(backend.report.service);
+    }
+  }
 
  private:
   // Notifies the control thread once of each newer version that a peer has.
@@ -455,7 +460,7 @@
 void MeshNode::SetBackend(LocalBackend backend, std::function<void()> applied) {
   this->impl->Post([impl = this->impl.get(), backend = std::move(backend),
                     applied = std::move(applied)] {
-    impl->gate_ref().SetBackend(backend);
+    impl->SetBackend(backend);
     if (applied) {
       applied();
     }
--- a/src/libmesh/peer_state.cc
+++ b/src/libmesh/peer_state.cc
@@ -2,11 +2,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cassiakeel/mesh/registrar.h"
+
 namespace cassiakeel::mesh::pvt {
 namespace {
 
 using nlohmann::json;
 
+constexpr const char* kAnnouncedField = "announced";
+
 json EncodeRows(const RowMap& rows) {
   json list = json::array();
   for (const auto& [key, row] : rows) {
@@ -38,11 +42,30 @@
       .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+std::string EncodeAnnouncement(const DirectoryEntry& row) {
+  return json{
+      {kAnnouncedField,
+       {{"key", row.node.Value()}, {"value", EncodeDirectoryEntry(row)}}}}
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 Result<PeerState> DecodePeerState(const std::string& text) {
   try {
     const auto object = json::parse(text);
-    return PeerState{DecodeRows(object.at("policy")),
-                     DecodeRows(object.at("directory"))};
+    PeerState state;
+    if (const auto row = object.find(kAnnouncedField); row != object.end()) {
+      const auto entry =
+          DecodeDirectoryEntry(row->at("key").get<std::string>(),
+                               row->at("value").get<std::string>());
+      if (!entry) {
+        return tl::unexpected(entry.error());
+      }
+      state.announced = *entry;
+      return state;
+    }
+    state.policy = DecodeRows(object.at("policy"));
+    state.directory = DecodeRows(object.at("directory"));
+    return state;
   } catch (const json::exception& error) {
     return Fail("decode state of a peer", error.what());
   }
--- a/src/libmesh/service_pools.cc
+++ b/src/libmesh/service_pools.cc
@@ -54,6 +54,10 @@
   return pool;
 }
 
+void ServicePools::OnOwnServerReady(const ServiceName& service) {
+  routing::OnReady(this->PoolFor(service), this->settings.node);
+}
+
 routing::Selection ServicePools::Select(
     const ServiceName& service,
     const routing::SelectionRequest& request,
--- a/src/libmesh/service_pools.h
+++ b/src/libmesh/service_pools.h
@@ -17,6 +17,8 @@
   void Update(const Directory& directory);
   /// The pool of a service; empty if the service is not in the directory.
   routing::Pool& PoolFor(const ServiceName& service);
+  /// The backend server on this machine takes calls of `service`.
+  void OnOwnServerReady(const ServiceName& service);
   /// Selects the endpoint of a call; `PoolFor(service)` has it.
   routing::Selection Select(const ServiceName& service,
                             const routing::SelectionRequest& request,
--- a/src/librouting/pool.cc
+++ b/src/librouting/pool.cc
@@ -429,6 +429,12 @@
   }
 }
 
+void OnReady(Pool& pool, const NodeId& node) {
+  if (auto* stats = FindStats(pool, node)) {
+    stats->leaving_reported_at.reset();
+  }
+}
+
 RetryTokens* FindRetryTokens(Pool& pool, const NodeId& node) {
   auto* stats = FindStats(pool, node);
   return stats == nullptr ? nullptr : &stats->retry_tokens;
