A node that nobody calls gets its state while the store is away

A process that starts during an outage of the store learns of other nodes from its callers alone.

Each node contacts the next one in the order of the directory once a second, over a kept connection; the response asks for state if the node lacks it. Nodes that have ended are skipped, four at most.

--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -7,6 +7,7 @@
 #include "cassiakeel/mesh/directory_view.h"
 #include "control_log.h"
 #include "decision_log.h"
+#include "neighbor_contact.h"
 #include "own_backend.h"
 #include "peer_state.h"
 #include "policy_poll_pace.h"
@@ -78,6 +79,9 @@
         io_context, timers, [this](const pvt::AnnouncementReport& report) {
           pvt::LogAnnouncement(this->log, report);
         });
+    this->contact = pvt::NeighborContact::Create(
+        io_context, timers, mesh.node,
+        [this](const PeerAddress& address) { this->OnStateRequest(address); });
     this->backend = pvt::OwnBackend::Create(
         io_context, this->mesh,
         settings.report_interval * kMaxMissedReports + kReportMargin, timers,
@@ -364,6 +368,7 @@
                         source);
       this->directory_in_use = directory;
       this->position_in_use = this->directory_position;
+      this->contact->SetDirectory(directory);
       this->node.SetDirectory(std::move(directory), this->directory_position);
     }
     if (const auto next = NextChange(this->view, now)) {
@@ -385,6 +390,7 @@
   std::shared_ptr<Registrar> registrar;
   std::shared_ptr<DepartureKeeper> keeper;
   std::unique_ptr<pvt::RowAnnouncer> announcer;
+  std::unique_ptr<pvt::NeighborContact> contact;
   std::unique_ptr<pvt::OwnBackend> backend;
   std::shared_ptr<TableFollower> policy_rows;
   std::shared_ptr<TableFollower> directory_rows;
--- a/src/libmesh/departure_test.cc
+++ b/src/libmesh/departure_test.cc
@@ -2,6 +2,7 @@
 
 #include "cassiakeel/mesh/directory_view.h"
 #include "control_test_support.h"
+#include "neighbor_contact.h"
 #include "peer_state.h"
 #include "row_announcer.h"
 
@@ -82,13 +83,7 @@
             this->address,
             this->limits,
             [this](const std::shared_ptr<h1::Exchange>& exchange) {
-              this->received.push_back(
-                  *pvt::DecodePeerState(exchange->request().body)->announced);
-              if (this->acknowledges) {
-                exchange->Respond({200, {}, {}});
-              } else {
-                this->unanswered.push_back(exchange);
-              }
+              this->Handle(exchange);
             })) {
     REQUIRE(this->server);
   }
@@ -105,6 +100,19 @@
   std::vector<DirectoryEntry> received;
 
  private:
+  void Handle(const std::shared_ptr<h1::Exchange>& exchange) {
+    const auto& request = exchange->request();
+    const auto state = pvt::DecodePeerState(request.body);
+    if (request.target == pvt::kPeerStatePath && state && state->announced) {
+      this->received.push_back(*state->announced);
+      if (!this->acknowledges) {
+        this->unanswered.push_back(exchange);
+        return;
+      }
+    }
+    exchange->Respond({200, {}, {}});
+  }
+
   std::vector<std::shared_ptr<h1::Exchange>> unanswered;
   h1::ServerLimits limits;
   Result<std::unique_ptr<h1::Server>> server;
@@ -382,6 +390,56 @@
   CHECK(VisibleDirectory(view, now).at(NodeId("n")).departed);
 }
 
+// Guards against a node that stays without policy and directory until the store
+// is back: it starts during an outage and nobody calls it, for example because
+// its server has left.
+TEST_CASE("a node that nobody calls gets its state while the store is away") {
+  ControlLoop loop;
+  TestMesh mesh;
+  ControlledNode peer(mesh, loop, "peer");
+  ControlledNode restarted(mesh, loop, "n");
+  // Of a node that has ended; nothing listens there.
+  auto ended = ActiveEntry(1);
+  ended.node = NodeId("a");
+  ended.address = LocalAddress();
+  auto row = GENERATE(true, false) ? DepartedEntry(100) : ActiveEntry(100);
+  row.address = mesh.settings["n"].inbound_address;
+  peer.store.Put("a", EncodeDirectoryEntry(ended));
+  peer.store.Put("n", EncodeDirectoryEntry(row));
+  peer.store.Put("config", "7");
+  restarted.store.unavailable = true;
+  peer.control->Start();
+  restarted.control->Start();
+  int status = 503;
+  for (int i = 0; i < 60 && status != 404; ++i) {
+    loop.RunFor(milliseconds(20), peer.store);
+    loop.RunFor(milliseconds(20), restarted.store);
+    status = mesh.Call("n", "/unknown/1", "x").response.status;
+  }
+  CHECK(status == 404);
+}
+
+TEST_CASE("the next node follows in a circle and is another one") {
+  Directory directory;
+  const auto next = [&directory](const std::string& after) {
+    const auto* entry = pvt::NextNode(directory, NodeId(after), NodeId("own"));
+    return entry == nullptr ? "" : entry->node.Value();
+  };
+  CHECK(next("own").empty());
+  for (const std::string name : {"a", "own", "x"}) {
+    directory[NodeId(name)].node = NodeId(name);
+  }
+  CHECK(next("own") == "x");
+  CHECK(next("x") == "a");
+  CHECK(next("a") == "x");
+  directory.erase(NodeId("own"));
+  CHECK(next("own") == "x");
+  directory.erase(NodeId("a"));
+  directory.erase(NodeId("x"));
+  directory[NodeId("own")].node = NodeId("own");
+  CHECK(next("own").empty());
+}
+
 // Guards against a malformed message of another build that ends the node.
 TEST_CASE("a malformed announcement is refused") {
   for (const std::string text :
--- a/src/libmesh/node.cc
+++ b/src/libmesh/node.cc
@@ -13,6 +13,7 @@
 #include "header_values.h"
 #include "memory_limits.h"
 #include "metrics.h"
+#include "neighbor_contact.h"
 #include "peer_state.h"
 #include "peer_versions.h"
 
@@ -297,6 +298,14 @@
       this->ReceiveState(*exchange);
       return;
     }
+    if (text == nullptr && request.target == pvt::kContactPath) {
+      h1::Response response{200, {}, {}};
+      if (this->ShouldRequestState()) {
+        response.headers.emplace_back(pvt::kNeedsStateField, "1");
+      }
+      exchange->Respond(std::move(response));
+      return;
+    }
     if (text == nullptr && request.target == pvt::kAllotmentPath) {
       const auto grant =
           this->dispatcher->allotment_exchange().OnReport(request.body);
--- a/testsuite/harness/store_outage.py
+++ b/testsuite/harness/store_outage.py
@@ -28,6 +28,8 @@
 STABLE_S = 3.0
 # For scheduling delays on a busy machine.
 MARGIN_S = 0.5
+# Changes of the directory are read in batches.
+DIRECTORY_S = 2.5
 REQUEST_INTERVAL_S = 0.05
 # Forms that run at the same time, with their own processes.
 PARALLEL = 4
@@ -152,16 +154,15 @@
     await outage.end()
 
 
-async def replaced(trial, fault, restarts=True):
-    """The server of the killed process leaves, and another one starts at its
-    address."""
+async def replaced(trial, fault, known_s=CONFIRMED_S):
+    """The server of the killed process leaves, `known_s` before the outage, and another
+    one starts at its address."""
     outage = Outage(trial, fault)
     await outage.prepare()
     outage.confirmed = await outage.depart(outage.own, "deregistered")
-    await asyncio.sleep(CONFIRMED_S)
+    await asyncio.sleep(known_s)
     outage.begin()
-    if restarts:
-        await outage.restart()
+    await outage.restart()
     await asyncio.sleep(STABLE_S)
     outage.check_unused()
     outage.own.backend.restart()
@@ -191,6 +192,9 @@
     form("stays-lost", stays, "one_way"),
     form("replaced-silent", replaced, "silent"),
     form("replaced-refusing", replaced, "refusing"),
+    # All nodes have read the departure and call the node no more.
+    form("replaced-known-silent", replaced, "silent", DIRECTORY_S),
+    form("replaced-known-refusing", replaced, "refusing", DIRECTORY_S),
 )
 
 
