--- a/src/include/cassiakeel/mesh/directory_view.h
+++ b/src/include/cassiakeel/mesh/directory_view.h
@@ -56,8 +56,9 @@
 /// changes. Returns false if the view has it or a later one.
 bool ApplyAnnouncement(DirectoryView& view, const DirectoryEntry& announced);
 
-/// Keeps what the view shows at `now`, because the store has come back from an
-/// older copy. The next rows that are applied are those of the copy.
+/// Keeps what is known at `now`, announced departures as well, because the
+/// store has come back from an older copy. The next rows that are applied are
+/// those of the copy.
 void BeginReturn(DirectoryView& view, SteadyTime now);
 
 /// The entries to use at `now`.
--- a/src/libmesh/control.cc
+++ b/src/libmesh/control.cc
@@ -83,9 +83,9 @@
         io_context, timers, mesh.node,
         [this](const PeerAddress& address) { this->OnStateRequest(address); });
     this->backend = pvt::OwnBackend::Create(
-        io_context, this->mesh,
-        settings.report_interval * kMaxMissedReports + kReportMargin, timers,
-        clock, node, this->registrar, *this->announcer, this->log,
+        {io_context, this->mesh, clock, node, *this->registrar,
+         *this->announcer, this->log},
+        timers, settings.report_interval * kMaxMissedReports + kReportMargin,
         [this](const DirectoryEntry& entry) {
           // Later, because the directory may be about to change.
           asio::post(this->io_context,
--- a/src/libmesh/own_backend.cc
+++ b/src/libmesh/own_backend.cc
@@ -8,42 +8,19 @@
 namespace cassiakeel::mesh::pvt {
 
 std::unique_ptr<OwnBackend> OwnBackend::Create(
-    asio::io_context& io_context,
-    const MeshSettings& settings,
-    std::chrono::milliseconds report_timeout,
+    const OwnBackendContext& context,
     std::shared_ptr<h1::TimerQueue> timers,
-    const Clock& clock,
-    MeshNode& node,
-    std::shared_ptr<Registrar> registrar,
-    RowAnnouncer& announcer,
-    DecisionLog& log,
+    std::chrono::milliseconds report_timeout,
     EntryHandler on_entry) {
-  std::unique_ptr<OwnBackend> own(
-      new OwnBackend(io_context, settings, node, std::move(registrar),
-                     announcer, log, std::move(on_entry)));
+  std::unique_ptr<OwnBackend> own(new OwnBackend(context, std::move(on_entry)));
   own->watch =
-      BackendWatch::Create(std::move(timers), clock, report_timeout,
+      BackendWatch::Create(std::move(timers), context.clock, report_timeout,
                            [raw = own.get()](const LocalBackend& backend) {
                              raw->OnChange(backend);
                            });
   return own;
 }
 
-OwnBackend::OwnBackend(asio::io_context& io_context,
-                       const MeshSettings& settings,
-                       MeshNode& node,
-                       std::shared_ptr<Registrar> registrar,
-                       RowAnnouncer& announcer,
-                       DecisionLog& log,
-                       EntryHandler on_entry)
-    : io_context(io_context),
-      settings(settings),
-      node(node),
-      registrar(std::move(registrar)),
-      announcer(announcer),
-      log(log),
-      on_entry(std::move(on_entry)) {}
-
 void OwnBackend::OnReport(const BackendReport& report, ConfirmHandler confirm) {
   this->pending_confirm =
       report.leaving ? this->ConfirmWhenStored(std::move(confirm))
@@ -60,31 +37,29 @@
   this->ConfirmUnchanged();
 }
 
-// Confirms a departure that the gate applies only when the store has it and the
-// other nodes were told, because a restarted node knows no other.
 std::function<void()> OwnBackend::ConfirmWhenStored(ConfirmHandler confirm) {
   return [this, confirm = std::move(confirm)] {
-    asio::post(this->io_context, [this, confirm] {
-      this->registrar->WhenStored([this, confirm](bool stored) {
-        if (!stored) {
-          this->log.Write(
-              "departure_not_stored",
-              JsonString("instance",
-                         this->watch->current().report.instance.Value()));
-          confirm(false);
-          return;
-        }
-        // Behind the announcement, which may wait to be run.
-        asio::post(this->io_context, [this, confirm] {
-          this->announcer.WhenSent([confirm] { confirm(true); });
-        });
-      });
+    asio::post(this->context.io_context, [this, confirm] {
+      this->context.registrar.WhenStored(
+          [this, confirm](bool stored) { this->OnStored(stored, confirm); });
     });
   };
 }
 
-// Confirms a report at once if it changed nothing. Otherwise OnChange has
-// passed the callback to the node.
+void OwnBackend::OnStored(bool stored, const ConfirmHandler& confirm) {
+  if (!stored) {
+    this->context.log.Write(
+        "departure_not_stored",
+        JsonString("instance", this->watch->current().report.instance.Value()));
+    confirm(false);
+    return;
+  }
+  // Behind the announcement, which may wait to be run.
+  asio::post(this->context.io_context, [this, confirm] {
+    this->context.announcer.WhenSent([confirm] { confirm(true); });
+  });
+}
+
 void OwnBackend::ConfirmUnchanged() {
   if (const auto applied = std::exchange(this->pending_confirm, nullptr)) {
     applied();
@@ -95,10 +70,11 @@
   if (!this->own_row_known) {
     return;
   }
-  LogBackend(this->log, backend);
-  this->node.SetBackend(backend, std::exchange(this->pending_confirm, nullptr));
-  const auto entry = MakeDirectoryEntry(this->settings, backend);
-  this->registrar->Publish(entry);
+  LogBackend(this->context.log, backend);
+  this->context.node.SetBackend(backend,
+                                std::exchange(this->pending_confirm, nullptr));
+  const auto entry = MakeDirectoryEntry(this->context.settings, backend);
+  this->context.registrar.Publish(entry);
   this->PassEntry(entry);
 }
 
@@ -111,13 +87,13 @@
 void OwnBackend::OnStoreLost() {
   const auto& current = this->watch->current();
   if (this->own_row_known && !current.report.instance.Value().empty() &&
-      !this->registrar->IsStored()) {
-    this->PassEntry(MakeDirectoryEntry(this->settings, current));
+      !this->context.registrar.IsStored()) {
+    this->PassEntry(MakeDirectoryEntry(this->context.settings, current));
   }
 }
 
 void OwnBackend::OnDirectory(const Directory& directory, bool from_store) {
-  const auto found = directory.find(this->settings.node);
+  const auto found = directory.find(this->context.settings.node);
   if (found != directory.end()) {
     this->RestoreDeparture(found->second);
     // A peer may not have read the departure of this server yet. Its next
@@ -140,23 +116,22 @@
 void OwnBackend::RestoreDeparture(const DirectoryEntry& own) {
   if (own.departed &&
       this->watch->RestoreDeparture(own.instance, own.started_at_ms)) {
-    this->log.Write("departure_restored",
-                    JsonString("instance", own.instance.Value()) + "," +
-                        JsonNumber("started_at_ms", own.started_at_ms));
+    this->context.log.Write("departure_restored",
+                            JsonString("instance", own.instance.Value()) + "," +
+                                JsonNumber("started_at_ms", own.started_at_ms));
   }
 }
 
-// Takes up the server before its next report. A row of a server that is gone is
-// harmless, because each request names the expected instance.
 void OwnBackend::RestoreServer(const DirectoryEntry& own) {
-  if (own.departed || own.leaving || own.service != this->settings.service ||
-      this->settings.backend_address.Value().empty()) {
+  if (own.departed || own.leaving ||
+      own.service != this->context.settings.service ||
+      this->context.settings.backend_address.Value().empty()) {
     return;
   }
   BackendReport report;
   report.instance = own.instance;
   report.service = own.service;
-  report.address = this->settings.backend_address;
+  report.address = this->context.settings.backend_address;
   report.slots = own.slots;
   report.started_at_ms = own.started_at_ms;
   this->watch->Restore(report);
--- a/src/libmesh/own_backend.h
+++ b/src/libmesh/own_backend.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <utility>
 
 #include "cassiakeel/h1/timer_queue.h"
 #include "cassiakeel/mesh/backend_watch.h"
@@ -16,6 +17,17 @@
 
 namespace cassiakeel::mesh::pvt {
 
+/// What an `OwnBackend` uses. All references must outlive it.
+struct OwnBackendContext {
+  asio::io_context& io_context;
+  const MeshSettings& settings;
+  const Clock& clock;
+  MeshNode& node;
+  Registrar& registrar;
+  RowAnnouncer& announcer;
+  DecisionLog& log;
+};
+
 /// The backend server on this machine: what its reports and, after a restart of
 /// this node, its directory row say of it, and what the gate and the other
 /// nodes are told. Runs on the control thread.
@@ -26,17 +38,12 @@
   /// it posts to the control thread.
   using EntryHandler = std::function<void(const DirectoryEntry& entry)>;
 
-  /// All references must outlive the object.
+  /// `report_timeout`: without a report for this time the server is considered
+  /// gone.
   static std::unique_ptr<OwnBackend> Create(
-      asio::io_context& io_context,
-      const MeshSettings& settings,
-      std::chrono::milliseconds report_timeout,
+      const OwnBackendContext& context,
       std::shared_ptr<h1::TimerQueue> timers,
-      const Clock& clock,
-      MeshNode& node,
-      std::shared_ptr<Registrar> registrar,
-      RowAnnouncer& announcer,
-      DecisionLog& log,
+      std::chrono::milliseconds report_timeout,
       EntryHandler on_entry);
 
   /// See MeshControl.
@@ -60,29 +67,27 @@
   bool row_is_known() const { return this->own_row_known; }
 
  private:
-  OwnBackend(asio::io_context& io_context,
-             const MeshSettings& settings,
-             MeshNode& node,
-             std::shared_ptr<Registrar> registrar,
-             RowAnnouncer& announcer,
-             DecisionLog& log,
-             EntryHandler on_entry);
+  OwnBackend(const OwnBackendContext& context, EntryHandler on_entry)
+      : context(context), on_entry(std::move(on_entry)) {}
+  // Confirms a departure that the gate applies only when the store has it and
+  // the other nodes were told, because a restarted node knows no other.
   std::function<void()> ConfirmWhenStored(ConfirmHandler confirm);
+  void OnStored(bool stored, const ConfirmHandler& confirm);
+  // Confirms a report at once if it changed nothing. Otherwise OnChange has
+  // passed the callback to the node.
   void ConfirmUnchanged();
   void OnChange(const LocalBackend& backend);
   void PassEntry(const DirectoryEntry& entry);
   void RestoreDeparture(const DirectoryEntry& own);
+  // Takes up the server before its next report. A row of a server that is gone
+  // is harmless, because each request names the expected instance.
   void RestoreServer(const DirectoryEntry& own);
 
-  asio::io_context& io_context;
-  const MeshSettings& settings;
-  MeshNode& node;
-  std::shared_ptr<Registrar> registrar;
-  RowAnnouncer& announcer;
-  DecisionLog& log;
+  OwnBackendContext context;
   EntryHandler on_entry;
   std::unique_ptr<BackendWatch> watch;
   bool own_row_known = false;
+  /// Confirms the report that is being processed.
   std::function<void()> pending_confirm;
 };
 
--- a/testsuite/harness/store_outage.py
+++ b/testsuite/harness/store_outage.py
@@ -7,14 +7,12 @@
 
 import argparse
 import asyncio
-import concurrent.futures
 import json
-import subprocess
 import sys
 import time
 
 from soak_standins import DRAIN_S, post
-from store_return import Trial
+from store_return import Trial, run_all, run_form
 from store_return_standins import Arrivals
 
 # Until the store fails, after a confirmation, and until the process is killed.
@@ -31,8 +29,8 @@
 # Changes of the directory are read in batches.
 DIRECTORY_S = 2.5
 REQUEST_INTERVAL_S = 0.05
-# Forms that run at the same time, with their own processes.
-PARALLEL = 4
+# The store does not come back from a copy.
+ERA = 1
 
 
 class Outage:
@@ -176,7 +174,7 @@
     return name, lambda trial: play(trial, *arguments, **options)
 
 
-FORMS = (
+FORMS = dict((
     form("silent-deregistered", departed, "silent", "deregistered", 0.3),
     form("silent-draining", departed, "silent", "draining", 1.2),
     form("refusing-deregistered", departed, "refusing", "deregistered", 1.2),
@@ -195,48 +193,18 @@
     # All nodes have read the departure and call the node no more.
     form("replaced-known-silent", replaced, "silent", DIRECTORY_S),
     form("replaced-known-refusing", replaced, "refusing", DIRECTORY_S),
-)
-
-
-async def play_form(trial, play):
-    await trial.start()
-    await play(trial)
-    trial.findings += trial.soak.checker.violations
-    await trial.soak.end()
-
-
-def run_form(program, name, play):
-    trial = Trial(program, name)
-    try:
-        asyncio.run(play_form(trial, play))
-    finally:
-        trial.soak.stop()
-    print(f"{name}: {'; '.join(trial.seen)}")
-    for line in trial.findings[:8]:
-        print(f"{name}: FAILED: {line}")
-    if trial.findings:
-        print(f"{name}: logs in {trial.log_dir}")
-    return 1 if trial.findings else 0
-
-
-def run_all(arguments):
-    """Runs each form as a process of its own, PARALLEL of them at a time."""
-    def run(name):
-        return subprocess.run([sys.executable, __file__, *arguments, "--form", name],
-                              check=False).returncode
-    with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
-        return max(list(pool.map(run, [name for name, _ in FORMS])))
+))
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--bin-dir", required=True)
-    parser.add_argument("--form", choices=[name for name, _ in FORMS])
+    parser.add_argument("--form", choices=FORMS)
     options = parser.parse_args()
     if not options.form:
-        return run_all(sys.argv[1:])
-    return run_form(f"{options.bin_dir}/cassiakeel-sidecar", options.form,
-                    dict(FORMS)[options.form])
+        return run_all(__file__, list(FORMS), sys.argv[1:])
+    return run_form(f"{options.bin_dir}/cassiakeel-sidecar", options.form, ERA,
+                    FORMS[options.form])
 
 
 if __name__ == "__main__":
--- a/testsuite/harness/store_return.py
+++ b/testsuite/harness/store_return.py
@@ -338,13 +338,14 @@
     return 1 if trial.findings else 0
 
 
-def run_all(arguments):
-    """Runs each form as a process of its own, PARALLEL of them at a time."""
-    def run(form):
-        return subprocess.run([sys.executable, __file__, *arguments, "--form", form[0]],
+def run_all(script, names, arguments):
+    """Runs each form of `script` as a process of its own, PARALLEL of them at a
+    time."""
+    def run(name):
+        return subprocess.run([sys.executable, script, *arguments, "--form", name],
                               check=False).returncode
     with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
-        return max(list(pool.map(run, FORMS)))
+        return max(list(pool.map(run, names)))
 
 
 def main():
@@ -353,7 +354,7 @@
     parser.add_argument("--form", choices=[form[0] for form in FORMS])
     options = parser.parse_args()
     if not options.form:
-        return run_all(sys.argv[1:])
+        return run_all(__file__, [form[0] for form in FORMS], sys.argv[1:])
     name, era, form = next(form for form in FORMS if form[0] == options.form)
     return run_form(f"{options.bin_dir}/cassiakeel-sidecar", name, era, form)
 
